--- /dev/null
+++ b/balancer/internal/carrier/carrier.go
@@ -0,0 +1,216 @@
+// Package carrier moves datagrams: packets between the fabric and this host,
+// and forwarded packets between hosts.
+package carrier
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"cranberryspan.dev/core/encoder"
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/reducer"
+	"cranberryspan.dev/core/timekeeper"
+	"cranberryspan.dev/core/translator"
+)
+
+// Kind tells callers which sort of failure an Error is.
+type Kind uint8
+
+// KindSocket means that a socket can't be opened, read or written.
+const KindSocket Kind = 1
+
+// Error is the one error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	socketBufferBytes = 4 << 20
+	// returnPort is the port of every return address, the default port of CoAP.
+	returnPort = 5683
+)
+
+// Counters count what could not be passed on. They are safe for concurrent use.
+type Counters struct {
+	Malformed   atomic.Uint64
+	Unauthentic atomic.Uint64
+	Unknown     atomic.Uint64
+	Overflow    atomic.Uint64
+	SendFailed  atomic.Uint64
+	Fenced      atomic.Uint64
+}
+
+// Carrier owns the two sockets of a host.
+type Carrier struct {
+	fabric   netip.AddrPort
+	packets  *net.UDPConn
+	peers    *net.UDPConn
+	sealer   *atomic.Pointer[encoder.Sealer]
+	clock    func() timekeeper.Instant
+	events   chan<- reducer.Event
+	Counters Counters
+}
+
+// New opens the sockets. Packets become events; clock stamps deadlines.
+func New(fabricAddress, peerAddress, fabric netip.AddrPort, sealer *atomic.Pointer[encoder.Sealer], clock func() timekeeper.Instant, events chan<- reducer.Event) (*Carrier, error) {
+	packets, err := listen(fabricAddress)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := listen(peerAddress)
+	if err != nil {
+		_ = packets.Close()
+		return nil, err
+	}
+	return &Carrier{fabric: fabric, packets: packets, peers: peers, sealer: sealer, clock: clock, events: events}, nil
+}
+
+func listen(address netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, &Error{Op: "listen for datagrams", Kind: KindSocket, Err: err}
+	}
+	// A larger buffer than the kernel allows is cut by the kernel.
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	_ = conn.SetWriteBuffer(socketBufferBytes)
+	return conn, nil
+}
+
+// Run reads both sockets until the context ends. Each reader reports its end on
+// the returned channel, which gets two values.
+func (c *Carrier) Run(ctx context.Context) <-chan error {
+	ends := make(chan error, 2)
+	context.AfterFunc(ctx, func() {
+		_ = c.packets.Close()
+		_ = c.peers.Close()
+	})
+	go func() { ends <- c.read(ctx, c.packets, c.newPacketReader()) }()
+	go func() { ends <- c.read(ctx, c.peers, c.peerMessage) }()
+	return ends
+}
+
+func (c *Carrier) read(ctx context.Context, conn *net.UDPConn, handle func([]byte) reducer.Event) error {
+	buffer := make([]byte, encoder.MaxDatagramBytes)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return &Error{Op: "read datagram", Kind: KindSocket, Err: err}
+		}
+		event := handle(buffer[:n])
+		if event == nil {
+			continue
+		}
+		select {
+		case c.events <- event:
+		default:
+			// The host is overloaded. Callers repeat what matters, so the
+			// newest packet is dropped rather than all delayed.
+			c.Counters.Overflow.Add(1)
+		}
+	}
+}
+
+func (c *Carrier) newPacketReader() func([]byte) reducer.Event {
+	reader := translator.New()
+	return func(data []byte) reducer.Event {
+		delivery, err := encoder.DecodeDelivery(data)
+		if err != nil {
+			c.Counters.Malformed.Add(1)
+			return nil
+		}
+		packet, err := reader.Decode(delivery.Payload, c.clock())
+		if err != nil {
+			c.Counters.Malformed.Add(1)
+			return nil
+		}
+		if delivery.To.Addr().Is4() {
+			return &reducer.CallerPacket{Caller: delivery.From, Service: delivery.To, Packet: packet}
+		}
+		return &reducer.TargetPacket{Target: delivery.From, Return: delivery.To.Addr(), Packet: packet}
+	}
+}
+
+func (c *Carrier) peerMessage(data []byte) reducer.Event {
+	from, body, err := c.sealer.Load().Open(data)
+	if err != nil {
+		c.countOpenError(err)
+		return nil
+	}
+	forward, ok := body.(*messenger.Forward)
+	if !ok {
+		c.Counters.Unknown.Add(1)
+		return nil
+	}
+	return &reducer.PeerMessage{From: from, Body: forward}
+}
+
+func (c *Carrier) countOpenError(err error) {
+	switch e, _ := err.(*encoder.Error); {
+	case e == nil || e.Kind == encoder.KindMalformed || e.Kind == encoder.KindTooLarge:
+		c.Counters.Malformed.Add(1)
+	case e.Kind == encoder.KindUnauthentic:
+		c.Counters.Unauthentic.Add(1)
+	case e.Kind == encoder.KindUnknown:
+		c.Counters.Unknown.Add(1)
+	}
+}
+
+// ToCaller sends a packet to a caller from its service's address.
+func (c *Carrier) ToCaller(service, caller netip.AddrPort, payload []byte) {
+	c.deliver(encoder.Delivery{From: service, To: caller, Payload: payload})
+}
+
+// ToTarget sends a packet to a target from a return address.
+func (c *Carrier) ToTarget(e *reducer.ToTarget) {
+	if e.Deadline != 0 && e.Deadline.Passed(c.clock()) {
+		// The process was paused after the decision; the right to send is gone.
+		c.Counters.Fenced.Add(1)
+		return
+	}
+	c.deliver(encoder.Delivery{From: netip.AddrPortFrom(e.Return, returnPort), To: e.Target, Payload: e.Payload})
+}
+
+func (c *Carrier) deliver(d encoder.Delivery) {
+	data, err := encoder.EncodeDelivery(d)
+	if err == nil {
+		_, err = c.packets.WriteToUDPAddrPort(data, c.fabric)
+	}
+	if err != nil {
+		c.Counters.SendFailed.Add(1)
+	}
+}
+
+// Announce tells the fabric whether this host takes packets.
+func (c *Carrier) Announce(host string, accepting bool) {
+	data, err := encoder.EncodeAnnouncement(encoder.Announcement{Host: host, Accepting: accepting})
+	if err == nil {
+		_, err = c.packets.WriteToUDPAddrPort(data, c.fabric)
+	}
+	if err != nil {
+		c.Counters.SendFailed.Add(1)
+	}
+}
+
+// ToPeer sends a forwarded packet to a host.
+func (c *Carrier) ToPeer(name string, address netip.AddrPort, body *messenger.Forward) {
+	data, err := c.sealer.Load().Seal(name, body)
+	if err == nil {
+		_, err = c.peers.WriteToUDPAddrPort(data, address)
+	}
+	if err != nil {
+		c.Counters.SendFailed.Add(1)
+	}
+}
--- /dev/null
+++ b/balancer/internal/configurer/configurer.go
@@ -0,0 +1,139 @@
+// Package configurer reads what a host has to know before it can read the
+// settings tree: its own addresses and where the platform and the fabric are.
+package configurer
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Kind tells callers which sort of failure an Error is.
+type Kind uint8
+
+// The kinds of Error.
+const (
+	// KindFile means that the file can't be read or is no YAML.
+	KindFile Kind = iota + 1
+	// KindInvalid means that a value is missing or wrong.
+	KindInvalid
+)
+
+// Error is the one error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Text is a host's own settings as written in flags, environment or file.
+type Text struct {
+	Name          string `yaml:"name"`
+	Address       string `yaml:"address"`
+	FabricAddress string `yaml:"fabricAddress"`
+	Fabric        string `yaml:"fabric"`
+	Platform      string `yaml:"platform"`
+	Admin         string `yaml:"admin"`
+	LogLevel      string `yaml:"logLevel"`
+}
+
+// Config is a host's own settings, checked.
+type Config struct {
+	// Name is the host's name in the settings tree.
+	Name string
+	// Address takes messages from peers, over UDP and TCP.
+	Address netip.AddrPort
+	// FabricAddress takes packets from the fabric.
+	FabricAddress netip.AddrPort
+	// Fabric is where packets to callers and targets go.
+	Fabric netip.AddrPort
+	// Platform is the URL of the platform's service.
+	Platform *url.URL
+	// Admin serves status and metrics over HTTP.
+	Admin netip.AddrPort
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+}
+
+// ReadFile reads a YAML file. An empty path gives an empty Text.
+func ReadFile(path string) (Text, error) {
+	if path == "" {
+		return Text{}, nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return Text{}, &Error{Op: "read host settings", Kind: KindFile, Err: err}
+	}
+	defer func() { _ = file.Close() }()
+	decoder := yaml.NewDecoder(file)
+	decoder.KnownFields(true)
+	var text Text
+	if err := decoder.Decode(&text); err != nil {
+		return Text{}, &Error{Op: "read host settings", Kind: KindFile, Err: err}
+	}
+	return text, nil
+}
+
+// Over returns a copy in which the values that t sets go before those of other.
+func (t Text) Over(other Text) Text {
+	pick := func(first, second string) string {
+		if first != "" {
+			return first
+		}
+		return second
+	}
+	return Text{
+		Name:          pick(t.Name, other.Name),
+		Address:       pick(t.Address, other.Address),
+		FabricAddress: pick(t.FabricAddress, other.FabricAddress),
+		Fabric:        pick(t.Fabric, other.Fabric),
+		Platform:      pick(t.Platform, other.Platform),
+		Admin:         pick(t.Admin, other.Admin),
+		LogLevel:      pick(t.LogLevel, other.LogLevel),
+	}
+}
+
+// Check turns the text into a Config.
+func (t Text) Check() (Config, error) {
+	config := Config{Name: t.Name, LogLevel: t.LogLevel}
+	if t.Name == "" {
+		return Config{}, missing("name")
+	}
+	for _, a := range []struct {
+		key  string
+		text string
+		into *netip.AddrPort
+	}{
+		{"address", t.Address, &config.Address},
+		{"fabricAddress", t.FabricAddress, &config.FabricAddress},
+		{"fabric", t.Fabric, &config.Fabric},
+		{"admin", t.Admin, &config.Admin},
+	} {
+		if a.text == "" {
+			return Config{}, missing(a.key)
+		}
+		address, err := netip.ParseAddrPort(a.text)
+		if err != nil {
+			return Config{}, &Error{Op: "check host settings", Kind: KindInvalid, Err: fmt.Errorf("%s: %q is no address and port such as 10.0.0.1:7000", a.key, a.text)}
+		}
+		*a.into = address
+	}
+	platform, err := url.Parse(t.Platform)
+	if err != nil || platform.Host == "" {
+		return Config{}, &Error{Op: "check host settings", Kind: KindInvalid, Err: fmt.Errorf("platform: %q is no URL such as http://10.0.0.9:8080", t.Platform)}
+	}
+	config.Platform = platform
+	return config, nil
+}
+
+func missing(key string) error {
+	return &Error{Op: "check host settings", Kind: KindInvalid, Err: fmt.Errorf("%s is missing: give it as a flag, in the environment or in the file", key)}
+}
--- /dev/null
+++ b/balancer/internal/linker/linker.go
@@ -0,0 +1,253 @@
+// Package linker keeps the control links between hosts: WebSocket connections
+// that carry sealed messages in order.
+//
+// Each host dials those it sends to and only reads on the links that others
+// dialed, so a link has one writer and needs no agreement on who dials.
+package linker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cranberryspan.dev/core/encoder"
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/reducer"
+	"github.com/coder/websocket"
+)
+
+// Kind tells callers which sort of failure an Error is.
+type Kind uint8
+
+// KindListen means that the control address can't be served.
+const KindListen Kind = 1
+
+// Error is the one error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	// queueLength bounds the messages that wait for a link; the oldest is
+	// dropped first, since heartbeats lose their worth with time and everything
+	// else is repeated.
+	queueLength  = 512
+	dialTimeout  = time.Second
+	writeTimeout = 2 * time.Second
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	path         = "/link"
+)
+
+// Counters count what happened on the links. They are safe for concurrent use.
+type Counters struct {
+	Sent        atomic.Uint64
+	SentBytes   atomic.Uint64
+	Received    atomic.Uint64
+	Dropped     atomic.Uint64
+	Malformed   atomic.Uint64
+	Unauthentic atomic.Uint64
+	Unknown     atomic.Uint64
+}
+
+// Linker owns the control links of a host.
+type Linker struct {
+	sealer   *atomic.Pointer[encoder.Sealer]
+	events   chan<- reducer.Event
+	listener net.Listener
+	Counters Counters
+
+	mu    sync.Mutex
+	links map[string]*link
+	ends  sync.WaitGroup
+}
+
+type link struct {
+	address netip.AddrPort
+	queue   chan []byte
+}
+
+// New listens on a host's address. Messages from peers become events.
+func New(address netip.AddrPort, sealer *atomic.Pointer[encoder.Sealer], events chan<- reducer.Event) (*Linker, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &Error{Op: "listen for links", Kind: KindListen, Err: err}
+	}
+	return &Linker{sealer: sealer, events: events, listener: listener, links: map[string]*link{}}, nil
+}
+
+// Run serves incoming links until the context ends, and reports its end.
+func (l *Linker) Run(ctx context.Context) <-chan error {
+	end := make(chan error, 1)
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, func(w http.ResponseWriter, request *http.Request) { l.accept(ctx, w, request) })
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: dialTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		err := server.Serve(l.listener)
+		l.ends.Wait()
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		end <- err
+	}()
+	return end
+}
+
+func (l *Linker) accept(ctx context.Context, w http.ResponseWriter, request *http.Request) {
+	conn, err := websocket.Accept(w, request, nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(encoder.MaxControlBytes)
+	for {
+		_, data, err := conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		if !l.receive(ctx, data) {
+			return
+		}
+	}
+}
+
+// receive opens a message. A link whose messages can't be opened is closed: its
+// sender has another key, or is no host of this system.
+func (l *Linker) receive(ctx context.Context, data []byte) bool {
+	from, body, err := l.sealer.Load().Open(data)
+	var failure *encoder.Error
+	if errors.As(err, &failure) {
+		switch failure.Kind {
+		case encoder.KindUnknown:
+			l.Counters.Unknown.Add(1)
+			return true
+		case encoder.KindUnauthentic:
+			l.Counters.Unauthentic.Add(1)
+		case encoder.KindMalformed, encoder.KindTooLarge:
+			l.Counters.Malformed.Add(1)
+		}
+		return false
+	}
+	l.Counters.Received.Add(1)
+	select {
+	case l.events <- &reducer.PeerMessage{From: from, Body: body}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Send queues a message for a peer and dials it if need be. It never blocks.
+func (l *Linker) Send(ctx context.Context, name string, address netip.AddrPort, body messenger.Body) {
+	data, err := l.sealer.Load().Seal(name, body)
+	if err != nil {
+		l.Counters.Dropped.Add(1)
+		return
+	}
+	k := l.linkTo(ctx, name, address)
+	for {
+		select {
+		case k.queue <- data:
+			return
+		default:
+		}
+		select {
+		case <-k.queue:
+			l.Counters.Dropped.Add(1)
+		default:
+		}
+	}
+}
+
+func (l *Linker) linkTo(ctx context.Context, name string, address netip.AddrPort) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k, ok := l.links[name]
+	if ok && k.address == address {
+		return k
+	}
+	if ok {
+		close(k.queue)
+	}
+	k = &link{address: address, queue: make(chan []byte, queueLength)}
+	l.links[name] = k
+	l.ends.Add(1)
+	go func() {
+		defer l.ends.Done()
+		l.write(ctx, k)
+	}()
+	return k
+}
+
+// write sends a link's queue, dialing anew with growing pauses when it breaks.
+func (l *Linker) write(ctx context.Context, k *link) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		conn, err := dial(ctx, k.address)
+		if err == nil {
+			backoff = firstBackoff
+			finished := l.pump(ctx, conn, k)
+			_ = conn.CloseNow()
+			if finished {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func dial(ctx context.Context, address netip.AddrPort) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, response, err := websocket.Dial(ctx, "ws://"+address.String()+path, nil)
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	return conn, err
+}
+
+// pump writes messages until the link breaks, and reports whether the link is
+// of no more use.
+func (l *Linker) pump(ctx context.Context, conn *websocket.Conn, k *link) bool {
+	// The peer never writes; reading notices that it closed the link.
+	broken := conn.CloseRead(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return true
+		case <-broken.Done():
+			return false
+		case data, ok := <-k.queue:
+			if !ok {
+				return true
+			}
+			writing, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := conn.Write(writing, websocket.MessageBinary, data)
+			cancel()
+			if err != nil {
+				return false
+			}
+			l.Counters.Sent.Add(1)
+			l.Counters.SentBytes.Add(uint64(len(data)))
+		}
+	}
+}
--- /dev/null
+++ b/balancer/internal/runner/runner.go
@@ -0,0 +1,293 @@
+// Package runner is the daemon: it feeds events to the reducer, one after
+// another, and carries its effects out.
+package runner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"cranberryspan.dev/balancer/internal/carrier"
+	"cranberryspan.dev/balancer/internal/configurer"
+	"cranberryspan.dev/balancer/internal/linker"
+	"cranberryspan.dev/balancer/internal/prober"
+	"cranberryspan.dev/balancer/internal/reporter"
+	"cranberryspan.dev/balancer/internal/watcher"
+	"cranberryspan.dev/core/detector"
+	"cranberryspan.dev/core/encoder"
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/reducer"
+	"cranberryspan.dev/core/resolver"
+	"cranberryspan.dev/core/timekeeper"
+	"cranberryspan.dev/core/translator"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// eventQueue bounds the events that wait for the reducer.
+const eventQueue = 8192
+
+// Runner is one host's daemon.
+type Runner struct {
+	config   configurer.Config
+	log      *zap.Logger
+	start    time.Time
+	reducer  *reducer.Reducer
+	events   chan reducer.Event
+	looks    chan look
+	sealer   atomic.Pointer[encoder.Sealer]
+	settings *resolver.Settings
+
+	accepting        bool
+	announceDeadline timekeeper.Instant
+
+	carrier  *carrier.Carrier
+	linker   *linker.Linker
+	watcher  *watcher.Watcher
+	prober   *prober.Prober
+	reporter *reporter.Reporter
+}
+
+type look struct {
+	run  func(*reducer.Reducer)
+	done chan struct{}
+}
+
+// New opens the host's sockets.
+func New(config configurer.Config, log *zap.Logger) (*Runner, error) {
+	r := &Runner{
+		config: config,
+		log:    log,
+		start:  time.Now(),
+		events: make(chan reducer.Event, eventQueue),
+		looks:  make(chan look),
+	}
+	incarnation := uint64(r.start.UnixMilli())
+	r.reducer = reducer.New(reducer.Config{
+		Self:        config.Name,
+		Incarnation: incarnation,
+		Seed:        incarnation,
+		Timing:      detector.DefaultTiming(),
+		Start:       r.now(),
+	})
+	r.sealer.Store(encoder.New(config.Name, nil))
+	var err error
+	if r.carrier, err = carrier.New(config.FabricAddress, config.Address, config.Fabric, &r.sealer, r.now, r.events); err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	if r.linker, err = linker.New(config.Address, &r.sealer, r.events); err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	if r.prober, err = prober.New(config.Address.Addr(), r.events); err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	r.watcher = watcher.New(config.Platform, r.events)
+	if r.reporter, err = reporter.New(config.Admin, config.Name, r.inspect, r.transportCounters()); err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	return r, nil
+}
+
+func (r *Runner) transportCounters() map[string]func() uint64 {
+	return map[string]func() uint64{
+		"datagramMalformed":   r.carrier.Counters.Malformed.Load,
+		"datagramUnauthentic": r.carrier.Counters.Unauthentic.Load,
+		"datagramUnknown":     r.carrier.Counters.Unknown.Load,
+		"datagramOverflow":    r.carrier.Counters.Overflow.Load,
+		"datagramSendFailed":  r.carrier.Counters.SendFailed.Load,
+		"sendFenced":          r.carrier.Counters.Fenced.Load,
+		"linkSent":            r.linker.Counters.Sent.Load,
+		"linkSentBytes":       r.linker.Counters.SentBytes.Load,
+		"linkReceived":        r.linker.Counters.Received.Load,
+		"linkDropped":         r.linker.Counters.Dropped.Load,
+		"linkMalformed":       r.linker.Counters.Malformed.Load,
+		"linkUnauthentic":     r.linker.Counters.Unauthentic.Load,
+		"linkUnknown":         r.linker.Counters.Unknown.Load,
+		"platformCalls":       r.watcher.Calls.Load,
+		"platformFailures":    r.watcher.Failures.Load,
+	}
+}
+
+// now is the host's monotonic clock. It starts above zero, since zero stands
+// for no deadline.
+func (r *Runner) now() timekeeper.Instant {
+	return timekeeper.Instant(time.Since(r.start) + time.Second)
+}
+
+// inspect runs a function between two events.
+func (r *Runner) inspect(ctx context.Context, run func(*reducer.Reducer)) error {
+	l := look{run: run, done: make(chan struct{})}
+	select {
+	case r.looks <- l:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-l.done
+	return nil
+}
+
+// Run serves until leave ends and the host has left, or until ctx ends, which
+// ends it at once. Each part runs until the host has left.
+func (r *Runner) Run(ctx context.Context, leave <-chan struct{}) error {
+	parts, stop := context.WithCancel(ctx)
+	defer stop()
+	ends := merge(
+		part{ends: r.carrier.Run(parts), count: 2},
+		part{ends: r.linker.Run(parts), count: 1},
+		part{ends: r.watcher.Run(parts), count: 1},
+		part{ends: r.prober.Run(parts), count: 2},
+		part{ends: r.reporter.Run(parts), count: 2},
+	)
+	r.log.Info("hostStarted", zap.String("host", r.config.Name))
+	err := r.loop(parts, leave, ends.first)
+	stop()
+	ends.wait()
+	r.log.Info("hostEnded", zap.String("host", r.config.Name))
+	return err
+}
+
+// loop is the only place that touches the reducer.
+func (r *Runner) loop(ctx context.Context, leave <-chan struct{}, failed <-chan error) error {
+	ticker := time.NewTicker(reducer.TickEvery)
+	defer ticker.Stop()
+	for {
+		var event reducer.Event
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case <-leave:
+			leave = nil
+			event = &reducer.Shutdown{}
+		case l := <-r.looks:
+			l.run(r.reducer)
+			close(l.done)
+			continue
+		case <-ticker.C:
+			event = &reducer.Tick{}
+		case event = <-r.events:
+		}
+		r.stamp(event)
+		if r.carryOut(ctx, r.reducer.Reduce(event)) {
+			return nil
+		}
+		r.announce()
+	}
+}
+
+// announce tells the fabric, at once when it changes and then regularly,
+// whether this host takes packets.
+func (r *Runner) announce() {
+	const announceEvery = 200 * time.Millisecond
+	accepting := r.reducer.Accepting()
+	now := r.now()
+	if accepting == r.accepting && !r.announceDeadline.Passed(now) {
+		return
+	}
+	r.accepting = accepting
+	r.announceDeadline = now.Add(announceEvery)
+	r.carrier.Announce(r.config.Name, accepting)
+}
+
+// stamp gives an event the time at which it is handled. An event that waited in
+// a queue while the process was paused must not look as old as it is: leases
+// are judged by it.
+func (r *Runner) stamp(event reducer.Event) {
+	now := r.now()
+	switch e := event.(type) {
+	case *reducer.CallerPacket:
+		e.At = now
+	case *reducer.TargetPacket:
+		e.At = now
+	case *reducer.PeerMessage:
+		e.At = now
+	case *reducer.SettingsPublished:
+		e.At = now
+	case *reducer.HostsPublished:
+		e.At = now
+	case *reducer.ProbeAnswered:
+		e.At = now
+	case *reducer.Tick:
+		e.At = now
+	case *reducer.Shutdown:
+		e.At = now
+	}
+}
+
+// carryOut executes effects and reports whether the host has left.
+func (r *Runner) carryOut(ctx context.Context, effects []reducer.Effect) bool {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case *reducer.ToTarget:
+			r.carrier.ToTarget(e)
+		case *reducer.ToCaller:
+			r.carrier.ToCaller(e.Service, e.Caller, e.Payload)
+		case *reducer.Reply:
+			r.reply(e)
+		case *reducer.ToPeer:
+			r.toPeer(ctx, e)
+		case *reducer.Probe:
+			r.prober.Probe(e.Target)
+		case *reducer.Watch:
+			r.watcher.Enable(e.Enabled)
+		case *reducer.Adopted:
+			r.adopted(e.Settings)
+		case *reducer.Rejected:
+			r.log.Error("settingsRejected", zap.Uint64("revision", e.Revision), zap.Error(e.Err))
+		case *reducer.Completed:
+			r.reporter.Completed(e.Service, e.Latency)
+		case *reducer.Logged:
+			r.logged(e)
+		case *reducer.Ended:
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Runner) reply(e *reducer.Reply) {
+	data, err := translator.EncodeReply(e)
+	if err != nil {
+		r.log.Warn("replyNotEncoded", zap.Error(err))
+		return
+	}
+	r.carrier.ToCaller(e.Service, e.Caller, data)
+}
+
+func (r *Runner) toPeer(ctx context.Context, e *reducer.ToPeer) {
+	if r.settings == nil {
+		return
+	}
+	host, ok := r.settings.HostNamed(e.Host)
+	if !ok {
+		return
+	}
+	if forward, ok := e.Body.(*messenger.Forward); ok {
+		r.carrier.ToPeer(host.Name, host.Address, forward)
+		return
+	}
+	r.linker.Send(ctx, host.Name, host.Address, e.Body)
+}
+
+func (r *Runner) adopted(settings *resolver.Settings) {
+	r.settings = settings
+	r.sealer.Store(encoder.New(r.config.Name, settings.PeerKeys))
+	r.watcher.Adopted(settings.Revision)
+	r.log.Info("settingsAdopted", zap.Uint64("revision", settings.Revision))
+	host, ok := settings.HostNamed(r.config.Name)
+	switch {
+	case !ok:
+		r.log.Error("hostNotListed", zap.String("host", r.config.Name))
+	case host.Address != r.config.Address || host.FabricAddress != r.config.FabricAddress:
+		r.log.Error("hostAddressDiffers", zap.Stringer("own", r.config.Address), zap.Stringer("listed", host.Address))
+	}
+}
+
+func (r *Runner) logged(e *reducer.Logged) {
+	fields := make([]zap.Field, 0, len(e.Fields))
+	for _, f := range e.Fields {
+		fields = append(fields, zap.String(f.Key, f.Value))
+	}
+	r.log.Info(e.Event, fields...)
+}
--- /dev/null
+++ b/balancer/internal/watcher/watcher.go
@@ -0,0 +1,214 @@
+// Package watcher reads the settings tree and the list of hosts from the
+// platform. It only ever reads.
+package watcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"cranberryspan.dev/core/reducer"
+	"cranberryspan.dev/core/resolver"
+)
+
+// Kind tells callers which sort of failure an Error is.
+type Kind uint8
+
+// The kinds of Error.
+const (
+	// KindUnreachable means that the platform did not answer.
+	KindUnreachable Kind = iota + 1
+	// KindAnswer means that the platform's answer makes no sense.
+	KindAnswer
+)
+
+// Error is the one error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	// watchSpan is how long the platform holds a watch without news.
+	watchSpan = 20 * time.Second
+	// readTimeout exceeds watchSpan, so that the platform ends a watch first.
+	readTimeout  = watchSpan + 5*time.Second
+	firstBackoff = 300 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+	hostsEvery   = 5 * time.Second
+	// RevisionHeader bears the revision of a settings document.
+	RevisionHeader = "Settings-Revision"
+)
+
+// Watcher reads the platform while it is enabled.
+type Watcher struct {
+	platform *url.URL
+	client   *http.Client
+	events   chan<- reducer.Event
+	enabled  chan bool
+	revision atomic.Uint64
+	// Calls counts the requests to the platform; Failures those that failed.
+	Calls    atomic.Uint64
+	Failures atomic.Uint64
+}
+
+// New makes a Watcher that is enabled: a host without settings has to read.
+func New(platform *url.URL, events chan<- reducer.Event) *Watcher {
+	return &Watcher{platform: platform, client: &http.Client{Timeout: readTimeout}, events: events, enabled: make(chan bool, 16)}
+}
+
+// Enable starts or stops the watch. It never blocks for long.
+func (w *Watcher) Enable(enabled bool) {
+	select {
+	case w.enabled <- enabled:
+	default:
+	}
+}
+
+// Adopted tells the watcher which revision is in force.
+func (w *Watcher) Adopted(revision uint64) { w.revision.Store(revision) }
+
+// Run watches until the context ends, and reports its end.
+func (w *Watcher) Run(ctx context.Context) <-chan error {
+	end := make(chan error, 1)
+	go func() { end <- w.run(ctx) }()
+	return end
+}
+
+func (w *Watcher) run(ctx context.Context) error {
+	enabled := true
+	for ctx.Err() == nil {
+		watch, cancel := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func(enabled bool) {
+			defer close(ended)
+			if enabled {
+				w.watch(watch)
+			}
+		}(enabled)
+		select {
+		case <-ctx.Done():
+		case enabled = <-w.enabled:
+		}
+		cancel()
+		<-ended
+	}
+	return nil
+}
+
+func (w *Watcher) watch(ctx context.Context) {
+	backoff := firstBackoff
+	var hostsDeadline time.Time
+	for ctx.Err() == nil {
+		if time.Now().After(hostsDeadline) {
+			w.readHosts(ctx)
+			hostsDeadline = time.Now().Add(hostsEvery)
+		}
+		if err := w.readSettings(ctx); err == nil {
+			backoff = firstBackoff
+			continue
+		}
+		w.Failures.Add(1)
+		// Jitter keeps hosts that lost the platform together from coming back
+		// together.
+		pause := backoff/2 + rand.N(backoff)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (w *Watcher) readSettings(ctx context.Context) error {
+	const op = "read settings"
+	query := url.Values{
+		"above":  {strconv.FormatUint(w.revision.Load(), 10)},
+		"waitMs": {strconv.FormatInt(min(watchSpan, hostsEvery).Milliseconds(), 10)},
+	}
+	response, err := w.get(ctx, "settings", query)
+	if err != nil {
+		return &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNotModified {
+		return nil
+	}
+	if response.StatusCode != http.StatusOK {
+		return &Error{Op: op, Kind: KindAnswer, Err: fmt.Errorf("status %d", response.StatusCode)}
+	}
+	revision, err := strconv.ParseUint(response.Header.Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return &Error{Op: op, Kind: KindAnswer, Err: err}
+	}
+	// One byte more than allowed is enough to see that a document is too large.
+	document, err := io.ReadAll(io.LimitReader(response.Body, resolver.MaxDocumentBytes+1))
+	if err != nil {
+		return &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	if w.revision.Load() >= revision {
+		// The platform is stale. Asking again at once would only load it.
+		return &Error{Op: op, Kind: KindAnswer, Err: fmt.Errorf("revision %d is not above %d", revision, w.revision.Load())}
+	}
+	w.offer(ctx, &reducer.SettingsPublished{Revision: revision, Document: document})
+	w.revision.Store(revision)
+	return nil
+}
+
+// hostState is one entry of the platform's list of hosts.
+type hostState struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+}
+
+func (w *Watcher) readHosts(ctx context.Context) {
+	response, err := w.get(ctx, "hosts", nil)
+	if err != nil {
+		w.Failures.Add(1)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	var hosts []hostState
+	if json.NewDecoder(io.LimitReader(response.Body, resolver.MaxDocumentBytes)).Decode(&hosts) != nil {
+		w.Failures.Add(1)
+		return
+	}
+	event := &reducer.HostsPublished{}
+	for _, h := range hosts {
+		if h.State == "leaving" {
+			event.Leaving = append(event.Leaving, h.Name)
+		}
+	}
+	w.offer(ctx, event)
+}
+
+func (w *Watcher) offer(ctx context.Context, event reducer.Event) {
+	select {
+	case w.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+func (w *Watcher) get(ctx context.Context, path string, query url.Values) (*http.Response, error) {
+	w.Calls.Add(1)
+	address := w.platform.JoinPath(path)
+	address.RawQuery = query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	return w.client.Do(request)
+}
--- /dev/null
+++ b/balancer/main.go
@@ -0,0 +1,152 @@
+// Command cranberryspan is the daemon that runs on each entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cranberryspan.dev/balancer/internal/configurer"
+	"cranberryspan.dev/balancer/internal/runner"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"time"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitSockets = 3
+	exitKilled  = 4
+)
+
+func main() { os.Exit(run(os.Args)) }
+
+func run(args []string) int {
+	code := exitOK
+	command := &cli.Command{
+		Name:  "cranberryspan",
+		Usage: "run one entry host of the load balancer",
+		Flags: []cli.Flag{
+			flag("config", "YAML file with the values below"),
+			flag("name", "this host's name in the settings tree"),
+			flag("address", "address for peers, UDP and TCP, such as 10.0.0.1:7000"),
+			flag("fabricAddress", "address for packets from the fabric"),
+			flag("fabric", "address of the fabric"),
+			flag("platform", "URL of the platform's service"),
+			flag("admin", "address for status and metrics over HTTP"),
+			flag("logLevel", "debug, info, warn or error"),
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			code = serve(ctx, command)
+			return nil
+		},
+	}
+	if err := command.Run(context.Background(), args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	return code
+}
+
+// flag makes a flag that the environment can set too; flags go first, then the
+// environment, then the file.
+func flag(name, usage string) cli.Flag {
+	return &cli.StringFlag{Name: name, Usage: usage, Sources: cli.EnvVars("CRANBERRYSPAN_" + upper(name))}
+}
+
+// upper writes a camel-case name as an environment variable: fabricAddress
+// becomes FABRIC_ADDRESS.
+func upper(name string) string {
+	var out []rune
+	for _, c := range name {
+		if c >= 'A' && c <= 'Z' {
+			out = append(out, '_', c)
+			continue
+		}
+		out = append(out, c-'a'+'A')
+	}
+	return string(out)
+}
+
+func serve(ctx context.Context, command *cli.Command) int {
+	fromFile, err := configurer.ReadFile(command.String("config"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	fromFlags := configurer.Text{
+		Name:          command.String("name"),
+		Address:       command.String("address"),
+		FabricAddress: command.String("fabricAddress"),
+		Fabric:        command.String("fabric"),
+		Platform:      command.String("platform"),
+		Admin:         command.String("admin"),
+		LogLevel:      command.String("logLevel"),
+	}
+	config, err := fromFlags.Over(fromFile).Check()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	log, err := newLogger(config.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	host, err := runner.New(config, log)
+	if err != nil {
+		log.Error("hostNotStarted", zap.Error(err))
+		return exitSockets
+	}
+	return runUntilSignal(ctx, host, log)
+}
+
+// runUntilSignal lets the host leave at the first signal and ends at the second.
+func runUntilSignal(ctx context.Context, host *runner.Runner, log *zap.Logger) int {
+	ctx, kill := context.WithCancel(ctx)
+	defer kill()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	leave := make(chan struct{})
+	go func() {
+		<-signals
+		close(leave)
+		<-signals
+		kill()
+	}()
+	err := host.Run(ctx, leave)
+	switch {
+	case ctx.Err() != nil:
+		return exitKilled
+	case err != nil:
+		log.Error("hostFailed", zap.Error(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+// newLogger makes a logger that writes one line of key=value pairs an event,
+// and of a line that repeats only a few a second.
+func newLogger(level string) (*zap.Logger, error) {
+	const (
+		linesPerSecond = 5
+		thenEvery      = 0
+	)
+	at := zapcore.InfoLevel
+	if level != "" {
+		if err := at.UnmarshalText([]byte(level)); err != nil {
+			return nil, fmt.Errorf("logLevel: %w", err)
+		}
+	}
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(os.Stderr), at)
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, thenEvery)), nil
+}
--- /dev/null
+++ b/core/detector/detector.go
@@ -0,0 +1,647 @@
+// Package detector finds out which hosts live, and keeps the leases that fence
+// the ownership of flows.
+//
+// Two mechanisms share the heartbeats. Outside the own cell a host pings one
+// random host an interval and spreads what it learns as rumors (after SWIM),
+// so its work does not grow with the fleet. Within the own cell, at most
+// resolver.MaxCellHosts hosts, every host pings every other, and each Ack is a
+// vote: a host may act as an owner only while a quorum of its cell votes for
+// it. A voter that gives a host up waits until its own vote has run out and
+// never votes for that incarnation again. Since any two quorums share a host,
+// no two hosts can hold the same flows.
+//
+//	cell {a, b, c}: c is paused. a and b give c up once their votes for c are
+//	over. When a hears that b has given c up as well, {a, b} is a quorum that
+//	denies c, so a takes over c's flows. c wakes, finds that its votes ended
+//	while it slept, and does nothing until it has joined anew.
+package detector
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/resolver"
+	"cranberryspan.dev/core/timekeeper"
+)
+
+// Outgoing is a message that the detector wants sent.
+type Outgoing struct {
+	To   string
+	Body messenger.Body
+}
+
+// Detector is one host's view of the fleet. It is driven from outside and
+// holds no clock; it is not safe for concurrent use.
+type Detector struct {
+	self        string
+	timing      Timing
+	random      *rand.Rand
+	incarnation uint64
+	phase       messenger.Phase
+	revision    uint64
+	members     map[string]*member
+	// names is sorted; it gives every loop over members the same order.
+	names    []string
+	cell     roster
+	fenced   []fencedRoster
+	sequence uint64
+	pings    map[uint64]sentPing
+	rumors   []spreading
+	outgoing []Outgoing
+	relays   []relay
+
+	lastTick     timekeeper.Instant
+	nextRound    timekeeper.Instant
+	rotation     []string
+	decorate     func(peer string) messenger.News
+	rejoined     bool
+	firstContact bool
+}
+
+type sentPing struct {
+	to     string
+	sentAt timekeeper.Instant
+}
+
+// spreading is a rumor and how often it is still to be told.
+type spreading struct {
+	host string
+	left int
+}
+
+// relay remembers who asked for a ping of subject.
+type relay struct {
+	asker, subject string
+	deadline       timekeeper.Instant
+}
+
+// New makes the detector of a host. incarnation must be higher than at any
+// earlier start of the same host; seed makes the choice of hosts to ping
+// repeatable. decorate adds what other parts of the host have to say to a peer.
+func New(self string, incarnation, seed uint64, timing Timing, decorate func(peer string) messenger.News) *Detector {
+	return &Detector{
+		self:        self,
+		timing:      timing,
+		random:      rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		incarnation: incarnation,
+		phase:       messenger.PhaseJoining,
+		members:     map[string]*member{},
+		pings:       map[uint64]sentPing{},
+		decorate:    decorate,
+	}
+}
+
+// SetHosts takes over the hosts of a settings revision.
+func (d *Detector) SetHosts(hosts []resolver.Host, revision uint64, now timekeeper.Instant) {
+	d.revision = revision
+	ownCell := ""
+	for _, h := range hosts {
+		if h.Name == d.self {
+			ownCell = h.Cell
+		}
+	}
+	var cellNames []string
+	known := map[string]bool{}
+	for _, h := range hosts {
+		known[h.Name] = true
+		inCell := ownCell != "" && h.Cell == ownCell
+		if inCell {
+			cellNames = append(cellNames, h.Name)
+		}
+		if h.Name == d.self {
+			continue
+		}
+		m, ok := d.members[h.Name]
+		if !ok {
+			m = &member{deniedBy: map[string]bool{}, silentSince: now}
+			d.members[h.Name] = m
+		}
+		m.host = h
+		m.inCell = inCell
+		if inCell && m.liveness == messenger.LivenessUnknown {
+			// A host that is listed and never heard of is given up in the end,
+			// so that a cell can work before all of its hosts were started.
+			m.liveness = messenger.LivenessSuspect
+		}
+	}
+	d.changeRoster(cellNames, revision, now)
+	for name := range d.members {
+		if !known[name] && !d.fencing(name) {
+			delete(d.members, name)
+		}
+	}
+	d.names = d.names[:0]
+	for name := range d.members {
+		d.names = append(d.names, name)
+	}
+	slices.Sort(d.names)
+	d.rotation = nil
+	if !d.firstContact {
+		d.firstContact = true
+		d.greet(now)
+	}
+}
+
+// greet pings some hosts at once, so that a new host learns about the fleet
+// within a round trip.
+func (d *Detector) greet(now timekeeper.Instant) {
+	const most = 32
+	for i, name := range d.names {
+		if i == most {
+			return
+		}
+		d.ping(name, now)
+	}
+}
+
+// Incarnation returns the host's own incarnation.
+func (d *Detector) Incarnation() uint64 { return d.incarnation }
+
+// Phase returns the host's own phase.
+func (d *Detector) Phase() messenger.Phase { return d.phase }
+
+// SetPhase moves the host to another phase and spreads the word.
+func (d *Detector) SetPhase(phase messenger.Phase) {
+	if d.phase == phase {
+		return
+	}
+	d.phase = phase
+	d.spread(d.self)
+	if phase == messenger.PhaseReady {
+		// Votes count only from hosts that know this host to be ready.
+		d.forgetVotes()
+	}
+}
+
+func (d *Detector) forgetVotes() {
+	clear(d.pings)
+	for _, m := range d.members {
+		m.leaseDeadline = 0
+	}
+}
+
+// Admit makes a host that joins part of the cell's roster again. The owner that
+// has handed flows over calls it before the host can act on them, so that the
+// two never count different rosters.
+func (d *Detector) Admit(name string) {
+	if m, ok := d.members[name]; ok {
+		m.left = false
+	}
+}
+
+// Rejoined reports, once, that the host lost its place and has to join anew.
+func (d *Detector) Rejoined() bool {
+	rejoined := d.rejoined
+	d.rejoined = false
+	return rejoined
+}
+
+// Take returns the messages to send and forgets them.
+func (d *Detector) Take() []Outgoing {
+	out := d.outgoing
+	d.outgoing = nil
+	return out
+}
+
+func (d *Detector) send(to string, body messenger.Body) {
+	d.outgoing = append(d.outgoing, Outgoing{To: to, Body: body})
+}
+
+// Tick lets time pass. It must be called several times an interval.
+func (d *Detector) Tick(now timekeeper.Instant) {
+	d.wake(now)
+	d.lastTick = now
+	d.expireFences(now)
+	for _, name := range d.names {
+		d.age(d.members[name], now)
+	}
+	if !d.nextRound.Passed(now) {
+		return
+	}
+	d.nextRound = now.Add(d.timing.PingEvery)
+	d.round(now)
+}
+
+// wake notices that this host slept.
+//
+// What goes wrong: a host that was paused for longer than DeadAfter finds, at
+// its first tick, that nobody has answered for that long, and gives up every
+// host in the cell although they live. One notices by a burst of "host dead"
+// lines from one host. So a host that slept first gives the others the time to
+// answer; its own leases have ended by themselves.
+func (d *Detector) wake(now timekeeper.Instant) {
+	if d.lastTick == 0 || now.Add(-d.timing.SuspectAfter) <= d.lastTick {
+		return
+	}
+	clear(d.pings)
+	for _, m := range d.members {
+		m.silentSince = now
+		m.pingDeadline = 0
+		if m.liveness == messenger.LivenessSuspect {
+			m.suspectDeadline = now.Add(d.timing.DeadAfter)
+		}
+	}
+	d.nextRound = now
+}
+
+func (d *Detector) age(m *member, now timekeeper.Instant) {
+	if m.inCell {
+		d.ageInCell(m, now)
+		return
+	}
+	if m.pingDeadline != 0 && m.pingDeadline.Passed(now) {
+		m.pingDeadline = 0
+		d.askOthers(m.host.Name, now)
+		d.suspect(m, now)
+	}
+	if m.liveness == messenger.LivenessSuspect && m.suspectDeadline.Passed(now) {
+		d.giveUp(m, now)
+	}
+}
+
+func (d *Detector) ageInCell(m *member, now timekeeper.Instant) {
+	silence := now - m.silentSince
+	if m.liveness == messenger.LivenessAlive && silence >= timekeeper.Instant(d.timing.SuspectAfter) {
+		m.liveness = messenger.LivenessSuspect
+	}
+	if m.liveness != messenger.LivenessSuspect || silence < timekeeper.Instant(d.timing.DeadAfter) {
+		return
+	}
+	if m.grantDeadline.Passed(now) {
+		d.giveUp(m, now)
+	}
+}
+
+func (d *Detector) suspect(m *member, now timekeeper.Instant) {
+	if m.liveness != messenger.LivenessAlive {
+		return
+	}
+	m.liveness = messenger.LivenessSuspect
+	m.suspectDeadline = now.Add(d.timing.DeadAfter)
+	d.spread(m.host.Name)
+}
+
+func (d *Detector) giveUp(m *member, now timekeeper.Instant) {
+	m.liveness = messenger.LivenessDead
+	m.deadAt = now
+	m.leaseDeadline = 0
+	d.spread(m.host.Name)
+}
+
+// round pings the whole cell and one host outside of it.
+func (d *Detector) round(now timekeeper.Instant) {
+	for _, name := range d.names {
+		if d.members[name].inCell {
+			d.ping(name, now)
+		}
+	}
+	if name, ok := d.nextOutside(); ok {
+		d.ping(name, now)
+		m := d.members[name]
+		if m.pingDeadline == 0 {
+			m.pingDeadline = now.Add(d.timing.PingEvery)
+		}
+	}
+	for sequence, p := range d.pings {
+		if p.sentAt.Add(d.timing.Lease).Passed(now) {
+			delete(d.pings, sequence)
+		}
+	}
+}
+
+// nextOutside walks the hosts outside the cell in random order, each once
+// before any comes again, which bounds the time until a failure is noticed.
+func (d *Detector) nextOutside() (string, bool) {
+	if len(d.rotation) == 0 {
+		for _, name := range d.names {
+			if !d.members[name].inCell {
+				d.rotation = append(d.rotation, name)
+			}
+		}
+		d.random.Shuffle(len(d.rotation), func(i, j int) {
+			d.rotation[i], d.rotation[j] = d.rotation[j], d.rotation[i]
+		})
+	}
+	if len(d.rotation) == 0 {
+		return "", false
+	}
+	name := d.rotation[0]
+	d.rotation = d.rotation[1:]
+	return name, true
+}
+
+func (d *Detector) ping(name string, now timekeeper.Instant) {
+	d.sequence++
+	d.pings[d.sequence] = sentPing{to: name, sentAt: now}
+	d.send(name, &messenger.Ping{Sequence: d.sequence, News: d.news(name)})
+}
+
+// askOthers has two other hosts ping a silent one, so that one broken link
+// does not make a host look dead.
+func (d *Detector) askOthers(subject string, _ timekeeper.Instant) {
+	const helpers = 2
+	var alive []string
+	for _, name := range d.names {
+		if name != subject && d.members[name].liveness == messenger.LivenessAlive {
+			alive = append(alive, name)
+		}
+	}
+	d.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	for i := 0; i < helpers && i < len(alive); i++ {
+		d.send(alive[i], &messenger.PingRequest{Subject: subject, News: d.news(alive[i])})
+	}
+}
+
+// Receive takes in a heartbeat from a peer.
+func (d *Detector) Receive(from string, body messenger.Body, now timekeeper.Instant) {
+	m, ok := d.members[from]
+	if !ok {
+		return
+	}
+	switch body := body.(type) {
+	case *messenger.Ping:
+		d.hear(m, body.News, now)
+		d.vote(m, body.Sequence, now)
+	case *messenger.Ack:
+		d.hear(m, body.News, now)
+		d.answered(m, body, now)
+	case *messenger.PingRequest:
+		d.hear(m, body.News, now)
+		if _, ok := d.members[body.Subject]; ok {
+			d.relays = append(d.relays, relay{asker: from, subject: body.Subject, deadline: now.Add(d.timing.DeadAfter)})
+			d.ping(body.Subject, now)
+		}
+	case *messenger.Vouch:
+		d.hear(m, body.News, now)
+		d.believe(body.Subject, now)
+	}
+}
+
+// vote answers a ping and notes the promise that goes with the answer. A host
+// that was given up gets an answer, which tells it so, but no promise.
+func (d *Detector) vote(m *member, sequence uint64, now timekeeper.Instant) {
+	if m.liveness != messenger.LivenessDead {
+		m.grantDeadline = now.Add(d.timing.Grant)
+	}
+	d.send(m.host.Name, &messenger.Ack{Sequence: sequence, News: d.news(m.host.Name)})
+}
+
+func (d *Detector) answered(m *member, ack *messenger.Ack, now timekeeper.Instant) {
+	sent, ok := d.pings[ack.Sequence]
+	if !ok || sent.to != m.host.Name || ack.News.Incarnation < m.incarnation {
+		return
+	}
+	delete(d.pings, ack.Sequence)
+	d.vouch(m, now)
+	if m.liveness == messenger.LivenessDead {
+		return
+	}
+	m.silentSince = now
+	m.pingDeadline = 0
+	if m.liveness != messenger.LivenessAlive {
+		m.liveness = messenger.LivenessAlive
+		d.spread(m.host.Name)
+	}
+	if votes(ack.News.Phase) && !deniesMe(ack.News.Cell, d.self, d.incarnation) {
+		m.leaseDeadline = max(m.leaseDeadline, sent.sentAt.Add(d.timing.Lease))
+	}
+}
+
+// vouch tells hosts that asked about m that it has answered.
+func (d *Detector) vouch(m *member, now timekeeper.Instant) {
+	kept := d.relays[:0]
+	for _, r := range d.relays {
+		switch {
+		case r.subject == m.host.Name:
+			rumor := m.rumor()
+			rumor.Liveness = messenger.LivenessAlive
+			d.send(r.asker, &messenger.Vouch{Subject: rumor, News: d.news(r.asker)})
+		case !r.deadline.Passed(now):
+			kept = append(kept, r)
+		}
+	}
+	d.relays = kept
+}
+
+func deniesMe(cell []messenger.Rumor, self string, incarnation uint64) bool {
+	for _, r := range cell {
+		if r.Host == self && r.Incarnation == incarnation && r.Liveness == messenger.LivenessDead {
+			return true
+		}
+	}
+	return false
+}
+
+// hear takes in what a peer says of itself and of others.
+func (d *Detector) hear(m *member, news messenger.News, now timekeeper.Instant) {
+	if news.Incarnation < m.incarnation {
+		return
+	}
+	if news.Incarnation > m.incarnation {
+		m.renew(news.Incarnation)
+		m.enter(news.Phase)
+		m.liveness = messenger.LivenessAlive
+		m.silentSince = now
+		d.spread(m.host.Name)
+	}
+	// Within one incarnation a host only moves forward; an older message that
+	// comes late must not bring an earlier phase back.
+	if news.Phase > m.phase {
+		m.enter(news.Phase)
+		d.spread(m.host.Name)
+	}
+	m.revision = max(m.revision, news.Revision)
+	m.covered = news.Covered
+	if !m.inCell && m.liveness != messenger.LivenessDead {
+		m.silentSince = now
+		m.pingDeadline = 0
+		if m.liveness != messenger.LivenessAlive {
+			m.liveness = messenger.LivenessAlive
+			d.spread(m.host.Name)
+		}
+	}
+	for _, r := range news.Cell {
+		d.hearInCell(m, r, now)
+	}
+	for _, r := range news.Rumors {
+		d.believe(r, now)
+	}
+}
+
+// hearInCell takes in a cell peer's view of another cell member.
+func (d *Detector) hearInCell(from *member, r messenger.Rumor, now timekeeper.Instant) {
+	if !from.inCell {
+		return
+	}
+	if r.Host == d.self {
+		d.hearOwnDeath(r, now)
+		return
+	}
+	m, ok := d.members[r.Host]
+	if !ok || r.Incarnation < m.incarnation {
+		return
+	}
+	if r.Incarnation > m.incarnation {
+		m.renew(r.Incarnation)
+		m.enter(r.Phase)
+		m.liveness = messenger.LivenessSuspect
+		m.silentSince = now
+	}
+	if r.Liveness == messenger.LivenessDead {
+		m.deniedBy[from.host.Name] = true
+		d.adoptDeath(m, now)
+	}
+	if r.Phase > m.phase {
+		m.enter(r.Phase)
+	}
+}
+
+// adoptDeath makes a host that has not joined yet believe what its cell knows:
+// it has no memory of an earlier incarnation's promise that it could break.
+func (d *Detector) adoptDeath(m *member, now timekeeper.Instant) {
+	if votes(d.phase) || m.liveness == messenger.LivenessDead || m.liveness == messenger.LivenessAlive {
+		return
+	}
+	d.giveUp(m, now)
+}
+
+// hearOwnDeath takes in that a cell peer gave this host up. If the hosts that
+// still vote for it are no quorum, another host may have taken over its flows,
+// so it joins anew.
+func (d *Detector) hearOwnDeath(r messenger.Rumor, now timekeeper.Instant) {
+	if r.Liveness != messenger.LivenessDead || r.Incarnation < d.incarnation {
+		return
+	}
+	d.refute(r)
+	if votes(d.phase) && !d.HasQuorum(now) {
+		d.phase = messenger.PhaseJoining
+		d.rejoined = true
+	}
+}
+
+// refute takes a new incarnation, so that what was said of the old one lapses.
+func (d *Detector) refute(r messenger.Rumor) {
+	if r.Incarnation < d.incarnation {
+		return
+	}
+	d.incarnation = r.Incarnation + 1
+	d.spread(d.self)
+}
+
+// believe takes in a rumor. Rumors decide nothing about hosts of the own cell,
+// which this host watches itself.
+func (d *Detector) believe(r messenger.Rumor, now timekeeper.Instant) {
+	if r.Host == d.self {
+		if r.Liveness >= messenger.LivenessSuspect {
+			d.refute(r)
+		}
+		return
+	}
+	m, ok := d.members[r.Host]
+	if !ok || m.inCell || r.Incarnation < m.incarnation {
+		return
+	}
+	newer := r.Incarnation > m.incarnation
+	if newer {
+		m.renew(r.Incarnation)
+	}
+	if !newer && r.Liveness <= m.liveness && r.Phase <= m.phase {
+		return
+	}
+	if newer || r.Liveness > m.liveness {
+		m.liveness = r.Liveness
+		m.suspectDeadline = now.Add(d.timing.DeadAfter)
+		m.silentSince = now
+	}
+	if newer || r.Phase > m.phase {
+		m.enter(r.Phase)
+	}
+	d.spread(r.Host)
+}
+
+// spread queues a host's state for the next messages, often enough to reach
+// the whole fleet with high probability.
+func (d *Detector) spread(host string) {
+	times := 4
+	for n := len(d.members); n > 0; n /= 2 {
+		times += 2
+	}
+	for i := range d.rumors {
+		if d.rumors[i].host == host {
+			d.rumors[i].left = times
+			return
+		}
+	}
+	d.rumors = append(d.rumors, spreading{host: host, left: times})
+}
+
+// news writes what rides on a heartbeat to a peer.
+func (d *Detector) news(peer string) messenger.News {
+	news := messenger.News{}
+	if d.decorate != nil {
+		news = d.decorate(peer)
+	}
+	news.Incarnation = d.incarnation
+	news.Phase = d.phase
+	news.Revision = d.revision
+	m, ok := d.members[peer]
+	if ok && m.inCell {
+		news.Cell = d.cellView()
+	}
+	news.Rumors = d.nextRumors()
+	if ok && !m.inCell && m.liveness >= messenger.LivenessSuspect {
+		// A host that is wrongly given up must hear of it to refute it.
+		news.Rumors = append(news.Rumors, m.rumor())
+	}
+	return news
+}
+
+func (d *Detector) cellView() []messenger.Rumor {
+	var view []messenger.Rumor
+	for _, name := range d.names {
+		if m := d.members[name]; m.inCell && m.incarnation != 0 {
+			view = append(view, m.rumor())
+		}
+	}
+	return view
+}
+
+// nextRumors picks the rumors that were told least, and counts them as told.
+func (d *Detector) nextRumors() []messenger.Rumor {
+	const most = 6
+	slices.SortStableFunc(d.rumors, func(a, b spreading) int {
+		if a.left != b.left {
+			return b.left - a.left
+		}
+		return strings.Compare(a.host, b.host)
+	})
+	var rumors []messenger.Rumor
+	for i := range d.rumors {
+		if len(rumors) == most {
+			break
+		}
+		d.rumors[i].left--
+		if r, ok := d.rumorOf(d.rumors[i].host); ok {
+			rumors = append(rumors, r)
+		}
+	}
+	d.rumors = slices.DeleteFunc(d.rumors, func(s spreading) bool { return s.left <= 0 })
+	return rumors
+}
+
+func (d *Detector) rumorOf(host string) (messenger.Rumor, bool) {
+	if host == d.self {
+		return messenger.Rumor{Host: d.self, Incarnation: d.incarnation, Liveness: messenger.LivenessAlive, Phase: d.phase}, true
+	}
+	m, ok := d.members[host]
+	if !ok {
+		return messenger.Rumor{}, false
+	}
+	return m.rumor(), true
+}
+
+// LeaseSpan returns the timing's lease, for callers that wait one out.
+func (d *Detector) LeaseSpan() time.Duration { return d.timing.Lease }
--- /dev/null
+++ b/core/messenger/message.go
@@ -0,0 +1,245 @@
+package messenger
+
+import (
+	"net/netip"
+	"time"
+
+	"cranberryspan.dev/core/resolver"
+)
+
+// Body is a message between two hosts. The set is closed: every reader
+// switches over exactly these types.
+type Body interface{ body() }
+
+func (*Ping) body()             {}
+func (*Ack) body()              {}
+func (*PingRequest) body()      {}
+func (*Vouch) body()            {}
+func (*Forward) body()          {}
+func (*Witness) body()          {}
+func (*WitnessAck) body()       {}
+func (*Handover) body()         {}
+func (*HandoverAck) body()      {}
+func (*SettingsRequest) body()  {}
+func (*SettingsDocument) body() {}
+func (*FlowRecords) body()      {}
+
+// Phase is where a host stands in its life as an owner of flows.
+type Phase uint8
+
+// The phases of a host, in the order in which it passes through them.
+const (
+	// PhaseJoining hosts have no records yet and do not vote.
+	PhaseJoining Phase = iota + 1
+	// PhaseWaited hosts are joining hosts that have outwaited every repeat of
+	// requests from before their start.
+	PhaseWaited
+	// PhaseReady hosts own flows and vote.
+	PhaseReady
+	// PhaseLeaving hosts are handing their flows over.
+	PhaseLeaving
+	// PhaseLeft hosts have handed everything over and never act again under
+	// this incarnation.
+	PhaseLeft
+)
+
+func (p Phase) String() string {
+	switch p {
+	case PhaseJoining:
+		return "joining"
+	case PhaseWaited:
+		return "waited"
+	case PhaseReady:
+		return "ready"
+	case PhaseLeaving:
+		return "leaving"
+	case PhaseLeft:
+		return "left"
+	}
+	return "unknown"
+}
+
+// Liveness is what a host believes of another.
+type Liveness uint8
+
+// The states of liveness.
+const (
+	// LivenessUnknown is a host never heard of.
+	LivenessUnknown Liveness = iota
+	// LivenessAlive is a host that answers.
+	LivenessAlive
+	// LivenessSuspect is a host that did not answer of late.
+	LivenessSuspect
+	// LivenessDead is a host that is given up; it has to come back under a new
+	// incarnation.
+	LivenessDead
+)
+
+func (l Liveness) String() string {
+	switch l {
+	case LivenessAlive:
+		return "alive"
+	case LivenessSuspect:
+		return "suspect"
+	case LivenessDead:
+		return "dead"
+	}
+	return "unknown"
+}
+
+// Rumor is one host's state as another host tells it.
+type Rumor struct {
+	Host        string   `cbor:"host"`
+	Incarnation uint64   `cbor:"inc"`
+	Liveness    Liveness `cbor:"live"`
+	Phase       Phase    `cbor:"phase"`
+}
+
+// News rides on every heartbeat in both directions.
+type News struct {
+	Incarnation uint64 `cbor:"inc"`
+	Phase       Phase  `cbor:"phase"`
+	// Revision is the highest settings revision in force at the sender.
+	Revision uint64 `cbor:"rev"`
+	// Covered tells a cell peer that it holds every recent request identity of
+	// the flows for which it is the sender's successor.
+	Covered bool `cbor:"cov,omitempty"`
+	// Cell holds the sender's view of every member of its cell, for cell peers.
+	Cell []Rumor `cbor:"cell,omitempty"`
+	// Rumors holds changes about other hosts.
+	Rumors []Rumor `cbor:"news,omitempty"`
+	// Loads maps targets (see LoadKey) to the sender's requests in flight.
+	Loads map[uint32]uint16 `cbor:"loads,omitempty"`
+}
+
+// LoadKey packs a service ID and the place of a target in its service's list.
+func LoadKey(service resolver.ServiceID, target int) uint32 {
+	return uint32(service)<<16 | uint32(uint16(target))
+}
+
+// Ping asks a host whether it lives. The Ack bears the same sequence number.
+type Ping struct {
+	Sequence uint64 `cbor:"seq"`
+	News     News   `cbor:"n"`
+}
+
+// Ack answers a Ping. It is also a vote: the sender promises not to give the
+// receiver up for the grant time.
+type Ack struct {
+	Sequence uint64 `cbor:"seq"`
+	News     News   `cbor:"n"`
+}
+
+// PingRequest asks a host to ping Subject, which the sender can't reach.
+type PingRequest struct {
+	Subject string `cbor:"sub"`
+	News    News   `cbor:"n"`
+}
+
+// Vouch tells a host that a subject it could not reach has answered the sender.
+type Vouch struct {
+	Subject Rumor `cbor:"sub"`
+	News    News  `cbor:"n"`
+}
+
+// Direction says which way a forwarded packet travels.
+type Direction uint8
+
+// The directions.
+const (
+	// DirectionToTarget is a caller's packet on its way to the flow's owner.
+	DirectionToTarget Direction = iota + 1
+	// DirectionToCaller is a target's answer on its way to the flow's owner.
+	DirectionToCaller
+)
+
+// Forward hands a packet to the owner of its flow. Services are named by ID,
+// so hosts at different revisions agree on what they are talking about.
+type Forward struct {
+	Key       resolver.FlowKey `cbor:"key"`
+	Direction Direction        `cbor:"dir"`
+	Hops      uint8            `cbor:"hops"`
+	Revision  uint64           `cbor:"rev"`
+	// Target is the address that an answer came from.
+	Target   netip.AddrPort `cbor:"tgt,omitzero"`
+	Kind     Kind           `cbor:"kind"`
+	Flags    Flags          `cbor:"flags"`
+	Exchange Exchange       `cbor:"ex"`
+	// Remaining is what is left until the caller's deadline; zero where there is none.
+	Remaining time.Duration `cbor:"left,omitempty"`
+	Payload   []byte        `cbor:"p"`
+}
+
+// Witness gives request identities to the successor of their owner before the
+// owner hands the requests to a target.
+type Witness struct {
+	Sequence   uint64   `cbor:"seq"`
+	Identities []uint64 `cbor:"ids"`
+}
+
+// WitnessAck says that the identities up to a sequence number are held.
+type WitnessAck struct {
+	Sequence uint64 `cbor:"seq"`
+}
+
+// FlowRecord says on which target a flow is.
+type FlowRecord struct {
+	_      struct{} `cbor:",toarray"`
+	Key    resolver.FlowKey
+	Target netip.AddrPort
+	// Long marks streams and uploads.
+	Long bool
+}
+
+// FlowRecords tells a successor about flows that are not where a newcomer
+// would look for them.
+type FlowRecords struct {
+	Records []FlowRecord `cbor:"recs"`
+}
+
+// RequestRecord hands a running request to the next owner of its flow.
+type RequestRecord struct {
+	_         struct{} `cbor:",toarray"`
+	Key       resolver.FlowKey
+	Exchange  Exchange
+	Flags     Flags
+	Target    netip.AddrPort
+	Remaining time.Duration
+}
+
+// Handover moves the records of flows to their next owner, in chunks. The
+// sender stops acting on the flows when it sends the chunk with Done set.
+type Handover struct {
+	Sequence    uint64 `cbor:"seq"`
+	Incarnation uint64 `cbor:"inc"`
+	// Flows and Requests are complete for the flows that change hands;
+	// Identities are of requests that may be repeated by callers.
+	Flows      []FlowRecord    `cbor:"flows,omitempty"`
+	Requests   []RequestRecord `cbor:"reqs,omitempty"`
+	Identities []uint64        `cbor:"ids,omitempty"`
+	// Uncertain is for how much longer the sender does not know every recent
+	// request identity.
+	Uncertain time.Duration `cbor:"unc,omitempty"`
+	// Peers names the hosts of the cell that the sender believes alive.
+	Peers []string `cbor:"peers,omitempty"`
+	Done  bool     `cbor:"done,omitempty"`
+	// Leaving tells a handover by a host that leaves from one to a host that joins.
+	Leaving bool `cbor:"leave,omitempty"`
+}
+
+// HandoverAck says that a chunk was taken in.
+type HandoverAck struct {
+	Sequence    uint64 `cbor:"seq"`
+	Incarnation uint64 `cbor:"inc"`
+}
+
+// SettingsRequest asks a peer for the settings it has in force.
+type SettingsRequest struct {
+	Above uint64 `cbor:"above"`
+}
+
+// SettingsDocument carries a revision of the settings tree, as published.
+type SettingsDocument struct {
+	Revision uint64 `cbor:"rev"`
+	Document []byte `cbor:"doc"`
+}
--- /dev/null
+++ b/core/placer/placer.go
@@ -0,0 +1,146 @@
+// Package placer computes where flows belong from published settings alone, so
+// that hosts with the same revision agree without talking to each other.
+package placer
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"cranberryspan.dev/core/resolver"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Hash spreads a flow key over 64 bits. The highest 16 bits are the flow's
+// bucket, by which hosts own flows; the lowest bits are its slot, by which
+// targets get flows.
+func Hash(key resolver.FlowKey) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(key))
+	return xxhash.Sum64(b[:])
+}
+
+// Bucket is the unit in which hosts own flows.
+type Bucket uint16
+
+// Buckets is how many buckets there are. With 610 hosts each owns about 107,
+// so that the busiest owner has about a third more than the mean.
+const Buckets = 1 << 16
+
+// BucketOf returns the bucket of a flow's Hash.
+func BucketOf(hash uint64) Bucket { return Bucket(hash >> 48) }
+
+// score is a pseudo-random 64-bit number for a pair.
+func score(a, b uint64) uint64 {
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[:8], a)
+	binary.LittleEndian.PutUint64(buffer[8:], b)
+	return xxhash.Sum64(buffer[:])
+}
+
+// Ranker orders names for each bucket by rendezvous hashing: taking a name away
+// changes nothing in the order of the others.
+type Ranker struct {
+	names  []string
+	hashes []uint64
+}
+
+// NewRanker makes a Ranker over names, at most resolver.MaxCellHosts for Rank.
+func NewRanker(names []string) Ranker {
+	r := Ranker{names: slices.Clone(names)}
+	for _, name := range names {
+		r.hashes = append(r.hashes, xxhash.Sum64String(name))
+	}
+	return r
+}
+
+// Order is names ranked for one bucket, best first.
+type Order struct {
+	names [resolver.MaxCellHosts]string
+	size  int
+}
+
+// Names returns the ranked names.
+func (o *Order) Names() []string { return o.names[:o.size] }
+
+// Rank orders the names for a bucket.
+func (r Ranker) Rank(bucket Bucket) Order {
+	var order Order
+	var scores [resolver.MaxCellHosts]uint64
+	for i, hash := range r.hashes {
+		if order.size == len(order.names) {
+			break
+		}
+		s := score(hash, uint64(bucket))
+		at := order.size
+		for at > 0 && scores[at-1] < s {
+			scores[at] = scores[at-1]
+			order.names[at] = order.names[at-1]
+			at--
+		}
+		scores[at] = s
+		order.names[at] = r.names[i]
+		order.size++
+	}
+	return order
+}
+
+// Cells maps every bucket to its home cell, by weighted rendezvous hashing over
+// the cells of the settings. Which host lives plays no part: only published
+// settings decide, so two sides of a partition never both believe that a
+// bucket's home is with them.
+type Cells struct {
+	names []string
+	home  []uint16
+}
+
+// NewCells computes the map from the hosts of a revision. It costs one hash for
+// each bucket and cell.
+func NewCells(hosts []resolver.Host) Cells {
+	sizes := map[string]int{}
+	var c Cells
+	for _, h := range hosts {
+		if sizes[h.Cell] == 0 {
+			c.names = append(c.names, h.Cell)
+		}
+		sizes[h.Cell]++
+	}
+	slices.Sort(c.names)
+	hashes := make([]uint64, len(c.names))
+	weights := make([]float64, len(c.names))
+	for i, name := range c.names {
+		hashes[i] = xxhash.Sum64String("cell " + name)
+		weights[i] = float64(sizes[name])
+	}
+	c.home = make([]uint16, Buckets)
+	for bucket := range c.home {
+		best := math.Inf(-1)
+		for i, hash := range hashes {
+			if s := weighted(score(hash, uint64(bucket)), weights[i]); s > best {
+				best = s
+				c.home[bucket] = uint16(i)
+			}
+		}
+	}
+	return c
+}
+
+// Same reports whether two maps are equal.
+func (c Cells) Same(other Cells) bool {
+	return slices.Equal(c.names, other.names) && slices.Equal(c.home, other.home)
+}
+
+// Home returns the home cell of a bucket; empty if there are no cells.
+func (c Cells) Home(bucket Bucket) string {
+	if len(c.names) == 0 {
+		return ""
+	}
+	return c.names[c.home[bucket]]
+}
+
+// weighted turns a uniform hash into a score under which a name wins in
+// proportion to its weight (weighted rendezvous hashing).
+func weighted(hash uint64, weight float64) float64 {
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(uniform)
+}
--- /dev/null
+++ b/core/reducer/adoption.go
@@ -0,0 +1,215 @@
+package reducer
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/placer"
+	"cranberryspan.dev/core/resolver"
+)
+
+// settingsPublished takes over a revision if it is valid and higher than the
+// one in force.
+//
+// What goes wrong without the comparison: the platform comes back from a
+// backup and serves revision 7 after 9, or a peer that was cut off still has 7.
+// One notices by a drained target that gets flows again. Since a revision only
+// ever replaces a lower one, nothing that is stale brings a host back; a host
+// that is behind hears of the higher revision with the next heartbeat.
+func (r *Reducer) settingsPublished(revision uint64, document []byte) {
+	if revision <= r.Revision() || revision == r.rejected {
+		return
+	}
+	settings, err := resolver.Resolve("revision "+strconv.FormatUint(revision, 10), document)
+	if err != nil {
+		r.rejected = revision
+		r.emit(&Rejected{Revision: revision, Err: err})
+		return
+	}
+	numbered := settings.WithRevision(revision)
+	r.adopt(&numbered, document)
+}
+
+func (r *Reducer) adopt(settings *resolver.Settings, document []byte) {
+	r.releaseAddresses(settings, r.now)
+	r.document = document
+	r.settings = settings
+	if host, ok := settings.HostNamed(r.self); ok {
+		r.ownCell = host.Cell
+	}
+	r.adoptCells(settings)
+	r.serviceIDs = r.serviceIDs[:0]
+	renewed := make(map[resolver.ServiceID]*service, len(settings.Services))
+	for i := range settings.Services {
+		s := &settings.Services[i]
+		renewed[s.ID] = r.renewService(r.services[s.ID], s, r.now)
+		r.serviceIDs = append(r.serviceIDs, s.ID)
+	}
+	r.services = renewed
+	r.detector.SetHosts(settings.Hosts, settings.Revision, r.now)
+	r.emit(&Adopted{Settings: settings})
+}
+
+func (r *Reducer) adoptCells(settings *resolver.Settings) {
+	members := map[string][]string{}
+	for _, h := range settings.Hosts {
+		members[h.Cell] = append(members[h.Cell], h.Name)
+	}
+	r.rankers = make(map[string]placer.Ranker, len(members))
+	for cell, names := range members {
+		r.rankers[cell] = placer.NewRanker(names)
+	}
+	cells := placer.NewCells(settings.Hosts)
+	if cells.Same(r.cells) {
+		return
+	}
+	if len(r.services) > 0 {
+		r.earlierCells = r.cells
+		r.movedDeadline = r.now.Add(r.repeatWindow())
+	}
+	r.cells = cells
+	r.dirtyShards = flowShards
+}
+
+// Revision returns the settings revision in force; zero before the first.
+func (r *Reducer) Revision() uint64 {
+	if r.settings == nil {
+		return 0
+	}
+	return r.settings.Revision
+}
+
+// Settings returns the settings in force; nil before the first revision.
+func (r *Reducer) Settings() *resolver.Settings { return r.settings }
+
+// behind reports whether some host has named a higher revision.
+func (r *Reducer) behind() bool {
+	highest, _ := r.detector.HighestRevision()
+	return highest > r.Revision() && highest != r.rejected
+}
+
+// catchUp asks a peer that has a higher revision for it, at most every so often.
+func (r *Reducer) catchUp() {
+	const askEvery = 300 * time.Millisecond
+	if !r.askedDeadline.Passed(r.now) {
+		return
+	}
+	highest, host := r.detector.HighestRevision()
+	if host == "" || highest <= r.Revision() || highest == r.rejected {
+		return
+	}
+	r.askedDeadline = r.now.Add(askEvery)
+	r.sendPeer(host, &messenger.SettingsRequest{Above: r.Revision()})
+}
+
+func (r *Reducer) sendSettings(to string, above uint64) {
+	if r.settings == nil || r.Revision() <= above {
+		return
+	}
+	r.sendPeer(to, &messenger.SettingsDocument{Revision: r.Revision(), Document: r.document})
+}
+
+// watchersPerZone is how many hosts of an availability zone watch the platform;
+// the others learn from peers, so that calls grow with zones, not with hosts.
+const watchersPerZone = 2
+
+func (r *Reducer) chooseWatchers() {
+	self, ok := r.settings.HostNamed(r.self)
+	ahead := 0
+	for _, h := range r.settings.Hosts {
+		if h.Name == r.self {
+			break
+		}
+		if h.AvailabilityZone == self.AvailabilityZone && r.detector.State(h.Name).Liveness == messenger.LivenessAlive {
+			ahead++
+		}
+	}
+	watch := !ok || ahead < watchersPerZone
+	if watch != r.watching {
+		r.watching = watch
+		r.emit(&Watch{Enabled: watch})
+	}
+}
+
+func (r *Reducer) hostsPublished(e *HostsPublished) {
+	clear(r.avoidHosts)
+	for _, name := range e.Leaving {
+		r.avoidHosts[name] = true
+	}
+}
+
+// repeatWindow is the longest repeat window of all services.
+func (r *Reducer) repeatWindow() time.Duration {
+	var longest time.Duration
+	for _, id := range r.serviceIDs {
+		longest = max(longest, r.services[id].settings.Policy.RepeatWindow)
+	}
+	return longest
+}
+
+// probersPerZone is how many hosts of an availability zone probe a target; they
+// are ranked by target, so that the work spreads.
+const probersPerZone = 2
+
+// probeTick has this host's share of the targets probed.
+func (r *Reducer) probeTick() {
+	const probeEvery = time.Second
+	if !r.probeDeadline.Passed(r.now) {
+		return
+	}
+	r.probeDeadline = r.now.Add(probeEvery)
+	ranker := placer.NewRanker(r.aliveInZone())
+	for _, id := range r.serviceIDs {
+		for _, t := range r.services[id].registry {
+			if t.present && r.probes(ranker, t) {
+				r.emit(&Probe{Target: t.address})
+			}
+		}
+	}
+}
+
+func (r *Reducer) aliveInZone() []string {
+	self, _ := r.settings.HostNamed(r.self)
+	var names []string
+	for _, h := range r.settings.Hosts {
+		alive := h.Name == r.self || r.detector.State(h.Name).Liveness == messenger.LivenessAlive
+		if h.AvailabilityZone == self.AvailabilityZone && alive {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+func (r *Reducer) probes(ranker placer.Ranker, t *target) bool {
+	order := ranker.Rank(placer.BucketOf(placer.Hash(resolver.FlowKey(t.address.Port()) + resolver.FlowKey(t.place)<<16)))
+	names := order.Names()
+	return slices.Contains(names[:min(probersPerZone, len(names))], r.self)
+}
+
+func (r *Reducer) probeAnswered(e *ProbeAnswered) {
+	for _, id := range r.serviceIDs {
+		s := r.services[id]
+		at, ok := s.byAddr[e.Target]
+		if !ok || !s.registry[at].present {
+			continue
+		}
+		t := s.registry[at]
+		if !e.Healthy {
+			t.failedProbes++
+			continue
+		}
+		t.failedProbes = 0
+		if !t.queueStuck() {
+			t.failedRequests = 0
+		}
+		t.reported = e.InFlight
+		t.reportDeadline = r.now.Add(loadSpan)
+	}
+}
+
+// queueStuck reports whether requests wait for the target without any answer,
+// in which case a good probe says little.
+func (t *target) queueStuck() bool { return t.failedRequests > 0 && t.inFlight > 0 }
+
--- /dev/null
+++ b/core/reducer/event.go
@@ -0,0 +1,77 @@
+package reducer
+
+import (
+	"net/netip"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/timekeeper"
+)
+
+// Event is something that happened to a host. The set is closed. Events carry
+// their own time; they are read, never kept or changed.
+type Event interface{ event() }
+
+func (*CallerPacket) event()      {}
+func (*TargetPacket) event()      {}
+func (*PeerMessage) event()       {}
+func (*SettingsPublished) event() {}
+func (*HostsPublished) event()    {}
+func (*ProbeAnswered) event()     {}
+func (*Tick) event()              {}
+func (*Shutdown) event()          {}
+
+// CallerPacket is a packet from a caller to a service address.
+type CallerPacket struct {
+	At      timekeeper.Instant
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+	Packet  messenger.Packet
+}
+
+// TargetPacket is a packet from a target to a return address.
+type TargetPacket struct {
+	At     timekeeper.Instant
+	Target netip.AddrPort
+	Return netip.Addr
+	Packet messenger.Packet
+}
+
+// PeerMessage is a message from another host.
+type PeerMessage struct {
+	At   timekeeper.Instant
+	From string
+	Body messenger.Body
+}
+
+// SettingsPublished is a revision of the settings tree, read from the platform.
+type SettingsPublished struct {
+	At       timekeeper.Instant
+	Revision uint64
+	Document []byte
+}
+
+// HostsPublished is the platform's list of hosts. It lags, so it is a hint: a
+// host that it lists as leaving is passed over for new work, nothing more.
+type HostsPublished struct {
+	At      timekeeper.Instant
+	Leaving []string
+}
+
+// ProbeAnswered is what a target's health endpoint said, or that it said nothing.
+type ProbeAnswered struct {
+	At      timekeeper.Instant
+	Target  netip.AddrPort
+	Healthy bool
+	// InFlight is how many requests the target reports to be running or queued.
+	InFlight int
+}
+
+// Tick lets time pass. It comes every TickEvery.
+type Tick struct {
+	At timekeeper.Instant
+}
+
+// Shutdown asks the host to hand its flows over and leave.
+type Shutdown struct {
+	At timekeeper.Instant
+}
--- /dev/null
+++ b/core/reducer/handover.go
@@ -0,0 +1,581 @@
+package reducer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cranberryspan.dev/core/detector"
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/placer"
+	"cranberryspan.dev/core/resolver"
+	"cranberryspan.dev/core/timekeeper"
+)
+
+const (
+	handoverChunk       = 400
+	handoverResendAfter = 500 * time.Millisecond
+	// copyBytesPerSecond is the budget for telling successors of exceptions.
+	copyBytesPerSecond = 2048
+	// flowRecordBytes is what a FlowRecord takes in a message.
+	flowRecordBytes = 20
+	// lingerSpan is how long a host that has left still passes packets on.
+	lingerSpan = time.Second
+)
+
+// joining is how far a host has come on its way to owning flows.
+type joining struct {
+	since timekeeper.Instant
+	// doneFrom names the hosts whose records have come, with the time.
+	doneFrom map[string]timekeeper.Instant
+	lastDone timekeeper.Instant
+	// expected names hosts that others said were alive.
+	expected map[string]bool
+	// over says that the host is ready; actDeadline is when it may act.
+	over        bool
+	actDeadline timekeeper.Instant
+	// uncertainDeadline is until when requests from before the start may be
+	// repeated whose identities nobody could hand over.
+	uncertainDeadline timekeeper.Instant
+}
+
+func newJoining(now timekeeper.Instant) joining {
+	return joining{since: now, doneFrom: map[string]timekeeper.Instant{}, expected: map[string]bool{}}
+}
+
+// mayAct reports whether the host has waited, after it became ready, until
+// every vote that others got without knowing so has run out.
+func (j *joining) mayAct(now timekeeper.Instant) bool {
+	return j.over && j.actDeadline.Passed(now)
+}
+
+// hasRecordsOf reports whether the records of a host have come; true for no host.
+func (j *joining) hasRecordsOf(host string) bool {
+	if host == "" {
+		return len(j.doneFrom) > 0
+	}
+	_, ok := j.doneFrom[host]
+	return ok
+}
+
+// rejoin starts over after the host lost its place while it was paused.
+func (r *Reducer) rejoin() {
+	r.log("hostRejoins")
+	r.joining = newJoining(r.now)
+	clear(r.handedTo)
+	clear(r.handovers)
+}
+
+// joinTick moves a joining host on: to ready when every live host of its cell
+// has handed over, or when the whole cell has nothing to hand over.
+func (r *Reducer) joinTick() {
+	if r.joining.over || r.shutdown {
+		return
+	}
+	if r.joining.since.Add(r.repeatWindow()).Passed(r.now) && r.detector.Phase() == messenger.PhaseJoining {
+		r.detector.SetPhase(messenger.PhaseWaited)
+	}
+	if r.recordsComplete() {
+		r.becomeReady()
+		return
+	}
+	if r.detector.Phase() == messenger.PhaseWaited && r.detector.WholeCellWaits(r.now) {
+		if r.someoneReady() {
+			// Its records did not come, although it lives.
+			r.joining.uncertainDeadline = r.now.Add(r.repeatWindow())
+		}
+		r.becomeReady()
+	}
+}
+
+func (r *Reducer) recordsComplete() bool {
+	if len(r.joining.doneFrom) == 0 {
+		return false
+	}
+	for _, name := range r.detector.Cell() {
+		if name == r.self {
+			continue
+		}
+		_, done := r.joining.doneFrom[name]
+		state := r.detector.State(name)
+		alive := state.Liveness == messenger.LivenessAlive || state.Liveness == messenger.LivenessSuspect
+		owning := state.Phase == messenger.PhaseReady || state.Phase == messenger.PhaseLeaving
+		if !done && ((alive && owning) || (r.joining.expected[name] && state.Liveness != messenger.LivenessDead && !r.hasLeft(state) && !isJoining(state))) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Reducer) someoneReady() bool {
+	for _, name := range r.detector.Cell() {
+		if name != r.self && r.detector.State(name).Phase == messenger.PhaseReady {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Reducer) becomeReady() {
+	r.joining.over = true
+	r.joining.actDeadline = r.now.Add(r.detector.LeaseSpan())
+	r.detector.SetPhase(messenger.PhaseReady)
+	r.log("hostReady")
+}
+
+// Ready reports whether the host has joined and may act as an owner.
+func (r *Reducer) Ready() bool {
+	return r.settings != nil && r.joining.mayAct(r.now) && !r.shutdown
+}
+
+// Accepting reports whether the fabric should hand packets to this host. A host
+// that joins takes packets already: it forwards them, and serves what may run
+// twice.
+func (r *Reducer) Accepting() bool { return r.settings != nil && !r.shutdown }
+
+// handoverOut is the records on their way to one host.
+type handoverOut struct {
+	incarnation uint64
+	leaving     bool
+	sequence    uint64
+	flows       []messenger.FlowRecord
+	identities  []uint64
+	last        *messenger.Handover
+	doneSent    bool
+	acked       bool
+	resend      timekeeper.Instant
+}
+
+// handoverTick starts handovers to hosts that join, and sends the next chunks.
+func (r *Reducer) handoverTick() {
+	for _, name := range r.detector.Cell() {
+		if name == r.self {
+			continue
+		}
+		state := r.detector.State(name)
+		h := r.handovers[name]
+		if h != nil && h.incarnation != state.Incarnation && !h.leaving {
+			delete(r.handovers, name)
+			h = nil
+		}
+		if h == nil && r.mayHandOver(state) {
+			h = r.startHandover(name, state.Incarnation, false)
+		}
+		if h != nil && !h.acked && h.resend.Passed(r.now) {
+			r.sendChunk(name, h)
+		}
+	}
+	r.leaveTick()
+}
+
+// mayHandOver reports whether a joining host can be served from here: only a
+// host with a quorum knows that its records are the valid ones.
+func (r *Reducer) mayHandOver(state detector.State) bool {
+	return isJoining(state) && state.Liveness == messenger.LivenessAlive && r.Ready() && r.detector.HasQuorum(r.now)
+}
+
+func (r *Reducer) startHandover(to string, incarnation uint64, leaving bool) *handoverOut {
+	h := &handoverOut{incarnation: incarnation, leaving: leaving}
+	for shard := range flowShards {
+		r.flows.each(shard, func(key resolver.FlowKey, f flow) (flow, bool) {
+			hash := placer.Hash(key)
+			if r.nextOwnerIs(to, hash) {
+				h.flows = append(h.flows, r.recordOf(key, f))
+			}
+			return f, true
+		})
+	}
+	// Maps have no order; equal events must give equal effects.
+	slices.SortFunc(h.flows, func(a, b messenger.FlowRecord) int { return cmp.Compare(a.Key, b.Key) })
+	h.identities = r.knownIdentities()
+	r.handovers[to] = h
+	return h
+}
+
+// nextOwnerIs reports whether a host owns a flow once it has joined, or once
+// this host has left.
+func (r *Reducer) nextOwnerIs(to string, hash uint64) bool {
+	bucket := placer.BucketOf(hash)
+	if r.cells.Home(bucket) != r.ownCell {
+		return false
+	}
+	order := r.rankers[r.ownCell].Rank(bucket)
+	for _, name := range order.Names() {
+		if name == to {
+			return true
+		}
+		if name != r.self && r.takesPart(name, true) {
+			return false
+		}
+		if name == r.self && !r.shutdown {
+			return false
+		}
+	}
+	return false
+}
+
+func (r *Reducer) recordOf(key resolver.FlowKey, f flow) messenger.FlowRecord {
+	s := r.services[key.Service()]
+	record := messenger.FlowRecord{Key: key, Long: f.flags&flowLong != 0}
+	if s != nil {
+		record.Target = s.registry[f.target].address
+	}
+	return record
+}
+
+// knownIdentities lists every request that callers may repeat.
+func (r *Reducer) knownIdentities() []uint64 {
+	ids := slices.Clone(r.identities.oldest)
+	for _, id := range r.serviceIDs {
+		for _, q := range r.services[id].forget {
+			ids = append(ids, q.id)
+		}
+	}
+	return ids
+}
+
+// journalFlow adds a flow that began during a handover to the handover.
+func (r *Reducer) journalFlow(key resolver.FlowKey, hash uint64, f flow) {
+	for _, name := range r.detector.Cell() {
+		if h := r.handovers[name]; h != nil && !h.doneSent && r.nextOwnerIs(name, hash) {
+			h.flows = append(h.flows, r.recordOf(key, f))
+		}
+	}
+}
+
+// sendChunk sends the next part of a handover, or the last one again. The chunk
+// that empties the list is the last: with it this host stops acting on the
+// flows, so nothing can be added behind it.
+func (r *Reducer) sendChunk(to string, h *handoverOut) {
+	h.resend = r.now.Add(handoverResendAfter)
+	if h.last != nil {
+		r.sendPeer(to, h.last)
+		return
+	}
+	h.sequence++
+	chunk := &messenger.Handover{Sequence: h.sequence, Incarnation: h.incarnation, Leaving: h.leaving}
+	n := min(handoverChunk, len(h.flows))
+	chunk.Flows = h.flows[:n:n]
+	h.flows = h.flows[n:]
+	m := min(handoverChunk, len(h.identities))
+	chunk.Identities = h.identities[:m:m]
+	h.identities = h.identities[m:]
+	if len(h.flows)+len(h.identities) == 0 {
+		r.finishHandover(to, h, chunk)
+	}
+	h.last = chunk
+	r.sendPeer(to, chunk)
+}
+
+func (r *Reducer) finishHandover(to string, h *handoverOut, chunk *messenger.Handover) {
+	chunk.Done = true
+	// What ran or was refused since the snapshot is added here.
+	chunk.Identities = append(slices.Clone(chunk.Identities), r.knownIdentities()...)
+	chunk.Requests = r.runningRequests(to)
+	chunk.Uncertain = max(0, r.uncertainUntil().Until(r.now))
+	for _, name := range r.detector.Cell() {
+		if name != r.self && name != to && r.takesPart(name, true) {
+			chunk.Peers = append(chunk.Peers, name)
+		}
+	}
+	h.doneSent = true
+	if !h.leaving {
+		r.handedTo[to] = h.incarnation
+		r.gapDeadlines[to] = 0
+		r.detector.Admit(to)
+	}
+	r.passUnsent(to)
+}
+
+// uncertainUntil is until when this host does not know every request that may
+// have run in its cell: hosts that died may have run some.
+func (r *Reducer) uncertainUntil() timekeeper.Instant {
+	until := max(r.joining.uncertainDeadline, 0)
+	for _, name := range r.detector.Cell() {
+		state := r.detector.State(name)
+		if name == r.self || state.Liveness != messenger.LivenessDead || state.Incarnation == 0 || state.Covered {
+			continue
+		}
+		until = max(until, state.DeadAt.Add(r.repeatWindow()))
+	}
+	return until
+}
+
+// runningRequests lists requests that are at targets, so that the next owner
+// gives them their final answer.
+func (r *Reducer) runningRequests(to string) []messenger.RequestRecord {
+	var records []messenger.RequestRecord
+	for _, q := range r.active {
+		if q.state != stateSent || !r.nextOwnerIs(to, q.hash) {
+			continue
+		}
+		records = append(records, messenger.RequestRecord{
+			Key:       q.key,
+			Exchange:  q.packet.Exchange,
+			Flags:     q.packet.Flags,
+			Target:    q.service.registry[q.target].address,
+			Remaining: max(q.deadline.Until(r.now), 0),
+		})
+		r.leave(q)
+		q.state = stateAnswered
+	}
+	return records
+}
+
+// passUnsent forwards requests that have not been sent to the next owner, where
+// they run for the first time.
+func (r *Reducer) passUnsent(to string) {
+	for _, q := range r.active {
+		unsent := q.state == stateQueued || q.state == stateWitnessing
+		if !unsent || !r.nextOwnerIs(to, q.hash) {
+			continue
+		}
+		r.leave(q)
+		q.state = stateAnswered
+		r.forgetUnsent(q)
+		r.forwardTo(to, &inbound{key: q.key, hash: q.hash, service: q.service, direction: messenger.DirectionToTarget, packet: &q.packet})
+	}
+}
+
+// forgetUnsent drops a request from the tables; its slot is not reused, since
+// lists may still name it.
+func (r *Reducer) forgetUnsent(q *request) {
+	delete(r.requests, q.id)
+	delete(r.byToken, tokenOf(q.key, q.packet.Exchange))
+}
+
+// takeHandover takes records in and acknowledges them.
+func (r *Reducer) takeHandover(from string, body *messenger.Handover) {
+	if r.settings == nil {
+		return
+	}
+	if !body.Leaving && body.Incarnation != r.detector.Incarnation() {
+		return
+	}
+	r.takeRecords(body.Flows, false)
+	deadline := r.now.Add(r.repeatWindow())
+	for _, id := range body.Identities {
+		r.identities.add(id, deadline)
+	}
+	for i := range body.Requests {
+		r.takeRequest(&body.Requests[i])
+	}
+	if body.Done {
+		r.takeDone(from, body)
+	}
+	r.sendPeer(from, &messenger.HandoverAck{Sequence: body.Sequence, Incarnation: body.Incarnation})
+}
+
+func (r *Reducer) takeDone(from string, body *messenger.Handover) {
+	if body.Uncertain > 0 {
+		r.joining.uncertainDeadline = max(r.joining.uncertainDeadline, r.now.Add(body.Uncertain))
+	}
+	if body.Leaving {
+		r.leavingFrom[from] = r.detector.State(from).Incarnation
+		return
+	}
+	r.joining.doneFrom[from] = r.now
+	for _, name := range body.Peers {
+		r.joining.expected[name] = true
+	}
+}
+
+// takeRecords remembers where flows are. copied says that this host is only
+// the successor, so that it does not pass the records on.
+func (r *Reducer) takeRecords(records []messenger.FlowRecord, copied bool) {
+	for _, record := range records {
+		s, ok := r.services[record.Key.Service()]
+		if !ok {
+			continue
+		}
+		at, ok := s.byAddr[record.Target]
+		if !ok {
+			continue
+		}
+		hash := placer.Hash(record.Key)
+		f := flow{target: at, other: noTarget, seen: max(seconds(r.now), 1)}
+		if record.Long {
+			f.flags |= flowLong
+		}
+		r.markException(s, hash, &f)
+		if copied {
+			f.flags |= flowCopied
+		}
+		r.flows.put(record.Key, hash, f)
+	}
+}
+
+func (r *Reducer) takeRequest(record *messenger.RequestRecord) {
+	s, ok := r.services[record.Key.Service()]
+	if !ok {
+		return
+	}
+	id := identityOf(record.Key, record.Exchange)
+	if _, ok := r.requests[id]; ok {
+		return
+	}
+	packet := messenger.Packet{
+		Kind:     messenger.KindRequest,
+		Flags:    record.Flags,
+		Exchange: record.Exchange,
+		Deadline: r.now.Add(max(record.Remaining, time.Millisecond)),
+	}
+	in := inbound{key: record.Key, hash: placer.Hash(record.Key), service: s, packet: &packet}
+	r.newRequest(&in, id).state = stateOrphan
+}
+
+func (r *Reducer) handoverAcked(from string, body *messenger.HandoverAck) {
+	h, ok := r.handovers[from]
+	if !ok || body.Sequence != h.sequence || body.Incarnation != h.incarnation {
+		return
+	}
+	h.last = nil
+	if h.doneSent {
+		h.acked = true
+		return
+	}
+	r.sendChunk(from, h)
+}
+
+// beginLeaving starts to hand every flow over, while still acting on them.
+func (r *Reducer) beginLeaving() {
+	if r.shutdown {
+		return
+	}
+	r.shutdown = true
+	r.log("hostLeaving")
+	if r.settings == nil || !r.joining.over {
+		r.end()
+		return
+	}
+	r.detector.SetPhase(messenger.PhaseLeaving)
+	for _, name := range r.detector.Cell() {
+		if name != r.self && r.takesPart(name, true) {
+			r.startHandover(name, r.detector.Incarnation(), true)
+		}
+	}
+}
+
+// leaveTick finishes a leave. Each peer that has all its records is the owner
+// of its share from then on; when all have, this host only passes packets on.
+func (r *Reducer) leaveTick() {
+	if !r.shutdown || r.ended || !r.joining.over {
+		return
+	}
+	if r.detector.Phase() == messenger.PhaseLeaving {
+		for name, h := range r.handovers {
+			if h.leaving && !h.acked && r.takesPart(name, true) {
+				return
+			}
+		}
+		if r.running() && len(r.handovers) == 0 {
+			// The last host of a cell has nobody to hand over to, so it
+			// finishes what it has.
+			return
+		}
+		r.steppedDown = true
+		r.detector.SetPhase(messenger.PhaseLeft)
+		r.leftDeadline = r.now.Add(lingerSpan)
+		r.log("hostLeft")
+		return
+	}
+	if r.leftDeadline.Passed(r.now) {
+		r.end()
+	}
+}
+
+func (r *Reducer) running() bool {
+	return slices.ContainsFunc(r.active, func(q *request) bool {
+		return q.state == stateSent || q.state == stateQueued || q.state == stateWitnessing
+	})
+}
+
+func (r *Reducer) end() {
+	if !r.ended {
+		r.ended = true
+		r.emit(&Ended{})
+	}
+}
+
+// flowTick visits one shard: it drops idle flows, marks flows that the last
+// change made exceptions, and tells successors of exceptions.
+func (r *Reducer) flowTick() {
+	marking := r.dirtyShards > 0
+	if marking {
+		r.dirtyShards--
+	}
+	var untold []untoldFlow
+	r.flows.each(r.flows.nextShard(), func(key resolver.FlowKey, f flow) (flow, bool) {
+		s := r.services[key.Service()]
+		if s == nil || r.idle(s, f) {
+			return f, false
+		}
+		if marking {
+			r.markExceptionQuietly(s, placer.Hash(key), &f)
+		}
+		if f.flags&(flowException|flowCopied) == flowException {
+			untold = append(untold, untoldFlow{key: key, flow: f})
+		}
+		return f, true
+	})
+	r.copyExceptions(untold)
+}
+
+// untoldFlow is an exception of which no successor knows yet.
+type untoldFlow struct {
+	key  resolver.FlowKey
+	flow flow
+}
+
+// copyExceptions tells successors of exceptions as far as the budget reaches,
+// streams and uploads first: losing one of those costs more than a request.
+func (r *Reducer) copyExceptions(untold []untoldFlow) {
+	r.copyTokens = min(r.copyTokens+copyBytesPerSecond*TickEvery.Seconds(), copyBytesPerSecond)
+	slices.SortFunc(untold, func(a, b untoldFlow) int {
+		if byLength := cmp.Compare(b.flow.flags&flowLong, a.flow.flags&flowLong); byLength != 0 {
+			return byLength
+		}
+		return cmp.Compare(a.key, b.key)
+	})
+	copies := map[string][]messenger.FlowRecord{}
+	for _, u := range untold {
+		r.copyException(u, copies)
+	}
+	for _, name := range r.detector.Cell() {
+		if records := copies[name]; len(records) > 0 {
+			r.counts[CountExceptions] += uint64(len(records))
+			r.sendPeer(name, &messenger.FlowRecords{Records: records})
+		}
+	}
+}
+
+func (r *Reducer) copyException(u untoldFlow, copies map[string][]messenger.FlowRecord) {
+	hash := placer.Hash(u.key)
+	bucket := placer.BucketOf(hash)
+	if r.copyTokens < flowRecordBytes || r.cells.Home(bucket) != r.ownCell {
+		return
+	}
+	successor, _ := r.successorOf(bucket)
+	if successor == "" {
+		return
+	}
+	r.copyTokens -= flowRecordBytes
+	u.flow.flags |= flowCopied
+	r.flows.put(u.key, hash, u.flow)
+	copies[successor] = append(copies[successor], r.recordOf(u.key, u.flow))
+}
+
+func (r *Reducer) idle(s *service, f flow) bool {
+	const longFactor = 6
+	span := s.settings.Policy.FlowMemory
+	if f.flags&flowLong != 0 {
+		span *= longFactor
+	}
+	return timekeeper.Instant(time.Duration(f.seen) * time.Second).Add(span).Passed(r.now)
+}
+
+func (r *Reducer) markExceptionQuietly(s *service, hash uint64, f *flow) {
+	dirty := r.dirtyShards
+	r.markException(s, hash, f)
+	r.dirtyShards = dirty
+}
--- /dev/null
+++ b/core/reducer/permission.go
@@ -0,0 +1,110 @@
+package reducer
+
+import (
+	"time"
+
+	"cranberryspan.dev/core/detector"
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/placer"
+)
+
+// permission says whether this host may run a request that must run only once.
+type permission uint8
+
+const (
+	// permissionGranted: no other host can run it, and this host knows every
+	// request that may have run before.
+	permissionGranted permission = iota + 1
+	// permissionWait: it is not settled which host may run it.
+	permissionWait
+	// permissionUncertain: this host may run it, but a copy may have run at an
+	// earlier owner whose records were lost.
+	permissionUncertain
+)
+
+// permission checks the right to run requests of a bucket.
+//
+// What goes wrong without it: a caller's datagram is repeated, the copies reach
+// two hosts, and both take themselves for the owner, because one of them was
+// paused, cut off or is new. One notices by a commitment that is booked twice.
+// Four things together prevent it. The bucket's home cell depends on published
+// settings alone. Within the cell the host holds the votes of a quorum. Every
+// host that ranks higher has left, or a quorum gave it up for good. And this
+// host holds the identities of all requests that ran within the time for which
+// callers repeat them; where it does not, it says that the outcome is unknown.
+func (r *Reducer) permission(bucket placer.Bucket, s *service) permission {
+	if r.cells.Home(bucket) != r.ownCell || !r.joining.mayAct(r.now) || r.steppedDown {
+		return permissionWait
+	}
+	if r.behind() || !r.detector.HasQuorum(r.now) {
+		return permissionWait
+	}
+	order := r.rankers[r.ownCell].Rank(bucket)
+	// recentlyDead counts the hosts above this one that died within the window.
+	recentlyDead, covered := 0, true
+	// leavingAbove says that a host that still acts gave us its share: the
+	// buckets for which we come right after it, not those of a dead host between.
+	leavingAbove := false
+	for i, name := range order.Names() {
+		if name == r.self {
+			if r.handedAway(order.Names()[i+1:]) {
+				return permissionWait
+			}
+			break
+		}
+		state := r.detector.State(name)
+		switch {
+		case r.hasLeft(state):
+			leavingAbove = leavingAbove || state.Phase != messenger.PhaseLeft
+		case state.Liveness == messenger.LivenessDead:
+			if leavingAbove || !r.detector.Denied(name) {
+				return permissionWait
+			}
+			if !r.diedLongAgo(state, s.settings.Policy.RepeatWindow) {
+				recentlyDead++
+				covered = covered && state.Covered
+			}
+		case isJoining(state) && r.handedTo[name] != state.Incarnation:
+		default:
+			return permissionWait
+		}
+	}
+	// With one dead host above, this host was its successor and was told of its
+	// requests. With two, the first may have told only the second.
+	if recentlyDead > 1 || !covered || r.homeMoved(bucket) || !r.joining.uncertainDeadline.Passed(r.now) {
+		return permissionUncertain
+	}
+	return permissionGranted
+}
+
+func isJoining(state detector.State) bool {
+	return state.Phase == messenger.PhaseJoining || state.Phase == messenger.PhaseWaited
+}
+
+func (r *Reducer) hasLeft(state detector.State) bool {
+	return state.Phase == messenger.PhaseLeft || (state.Incarnation != 0 && r.leavingFrom[state.Host] == state.Incarnation)
+}
+
+func (r *Reducer) diedLongAgo(state detector.State, window time.Duration) bool {
+	return state.Incarnation == 0 || state.DeadAt.Add(window).Passed(r.now)
+}
+
+// homeMoved reports whether a bucket had its home in another cell so recently
+// that requests from then may be repeated.
+func (r *Reducer) homeMoved(bucket placer.Bucket) bool {
+	if r.movedDeadline.Passed(r.now) {
+		return false
+	}
+	return r.earlierCells.Home(bucket) != r.cells.Home(bucket)
+}
+
+// covers reports whether a peer holds the identities of every recent request
+// that this host ran while the peer was its successor.
+func (r *Reducer) covers(peer string) bool {
+	return r.gapDeadlines[peer].Passed(r.now)
+}
+
+// noteGap remembers that a host which would take over was not told of a request.
+func (r *Reducer) noteGap(peer string, window time.Duration) {
+	r.gapDeadlines[peer] = max(r.gapDeadlines[peer], r.now.Add(window))
+}
--- /dev/null
+++ b/core/reducer/route.go
@@ -0,0 +1,311 @@
+package reducer
+
+import (
+	"net/netip"
+	"time"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/placer"
+	"cranberryspan.dev/core/resolver"
+)
+
+// maxHops bounds how often a packet is forwarded while hosts disagree on its owner.
+const maxHops = 3
+
+// inbound is a packet on its way through this host.
+type inbound struct {
+	key       resolver.FlowKey
+	hash      uint64
+	service   *service
+	direction messenger.Direction
+	// target is where an answer came from.
+	target netip.AddrPort
+	packet *messenger.Packet
+	hops   uint8
+}
+
+// role is what this host is to a flow.
+type role uint8
+
+const (
+	// roleOwner hosts keep the flow's records.
+	roleOwner role = iota + 1
+	// roleStandIn hosts act because the owner can't be reached. They serve what
+	// may run twice, and nothing else.
+	roleStandIn
+	// roleForward hosts hand the packet on.
+	roleForward
+)
+
+func (r *Reducer) callerPacket(e *CallerPacket) {
+	if r.settings == nil {
+		r.count(DropUnknownService)
+		return
+	}
+	settings, ok := r.settings.ServiceAt(e.Service)
+	if !ok {
+		r.count(DropUnknownService)
+		return
+	}
+	key, ok := resolver.NewFlowKey(e.Caller, settings.ID)
+	if !ok || e.Caller.Port() == 0 {
+		r.count(DropUnknownCaller)
+		return
+	}
+	r.route(&inbound{
+		key:       key,
+		hash:      placer.Hash(key),
+		service:   r.services[settings.ID],
+		direction: messenger.DirectionToTarget,
+		packet:    &e.Packet,
+	})
+}
+
+func (r *Reducer) targetPacket(e *TargetPacket) {
+	key := resolver.FlowKeyOf(e.Return)
+	s, ok := r.services[key.Service()]
+	if !ok || !s.settings.ReturnPrefix.Contains(e.Return) || !s.knows(e.Target, r.lastUse) {
+		// A packet from an address that is no target of the service must not
+		// reach the service's caller: the address may have changed hands.
+		r.count(DropUnknownTarget)
+		return
+	}
+	r.route(&inbound{
+		key:       key,
+		hash:      placer.Hash(key),
+		service:   s,
+		direction: messenger.DirectionToCaller,
+		target:    e.Target,
+		packet:    &e.Packet,
+	})
+}
+
+// forwarded takes in a packet that another host took for ours.
+func (r *Reducer) forwarded(f *messenger.Forward) {
+	s, ok := r.services[f.Key.Service()]
+	if !ok {
+		r.count(DropUnknownService)
+		return
+	}
+	if f.Direction == messenger.DirectionToCaller && !s.knows(f.Target, r.lastUse) {
+		r.count(DropUnknownTarget)
+		return
+	}
+	packet := messenger.Packet{Kind: f.Kind, Flags: f.Flags, Exchange: f.Exchange, Payload: f.Payload}
+	if f.Remaining > 0 {
+		packet.Deadline = r.now.Add(f.Remaining)
+	}
+	r.route(&inbound{
+		key:       f.Key,
+		hash:      placer.Hash(f.Key),
+		service:   s,
+		direction: f.Direction,
+		target:    f.Target,
+		packet:    &packet,
+		hops:      f.Hops,
+	})
+}
+
+// route hands a packet to the owner of its flow, or acts on it here.
+func (r *Reducer) route(in *inbound) {
+	if in.direction == messenger.DirectionToCaller && needsNoOwner(in.packet) {
+		r.deliver(in)
+		return
+	}
+	owner, role := r.ownerOf(placer.BucketOf(in.hash), needsCare(in))
+	if role == roleForward {
+		if in.hops < maxHops {
+			r.forwardTo(owner, in)
+			return
+		}
+		if needsCare(in) {
+			r.count(DropHopLimit)
+			return
+		}
+		role = roleStandIn
+	}
+	if role == roleOwner {
+		r.count(CountOwned)
+	} else {
+		r.count(CountStandIn)
+	}
+	r.act(in, role)
+}
+
+// needsNoOwner reports whether an answer can go to its caller without its
+// owner: notifications of a stream, and control packets. All that they need is
+// in the return address.
+func needsNoOwner(packet *messenger.Packet) bool {
+	if packet.Kind != messenger.KindAnswer {
+		return true
+	}
+	return packet.Flags.Has(messenger.FlagStream) && !packet.Flags.Has(messenger.FlagPiggybacked)
+}
+
+// needsCare reports whether a packet must be handled by its flow's owner or by
+// nobody: a request that may run only once.
+func needsCare(in *inbound) bool {
+	return in.direction == messenger.DirectionToTarget &&
+		in.packet.Kind == messenger.KindRequest &&
+		!in.packet.Flags.Has(messenger.FlagIdempotent)
+}
+
+func (r *Reducer) forwardTo(owner string, in *inbound) {
+	r.count(CountForwarded)
+	var remaining time.Duration
+	if in.packet.Deadline != 0 {
+		remaining = max(in.packet.Deadline.Until(r.now), time.Millisecond)
+	}
+	r.forward = append(r.forward, messenger.Forward{
+		Key:       in.key,
+		Direction: in.direction,
+		Hops:      in.hops + 1,
+		Revision:  r.Revision(),
+		Target:    in.target,
+		Kind:      in.packet.Kind,
+		Flags:     in.packet.Flags,
+		Exchange:  in.packet.Exchange,
+		Remaining: remaining,
+		Payload:   in.packet.Payload,
+	})
+	r.sendPeer(owner, &r.forward[len(r.forward)-1])
+}
+
+// ownerOf finds the host that owns a bucket: the first of the bucket's home
+// cell, in rank order, that takes part. Where care is not needed, a silent host
+// is passed over at once instead of being waited for.
+func (r *Reducer) ownerOf(bucket placer.Bucket, care bool) (string, role) {
+	order := r.rankers[r.cells.Home(bucket)].Rank(bucket)
+	for i, name := range order.Names() {
+		if name != r.self {
+			if r.takesPart(name, care) {
+				return name, roleForward
+			}
+			continue
+		}
+		if r.steppedDown || r.handedAway(order.Names()[i+1:]) {
+			continue
+		}
+		if r.joining.over || r.joining.hasRecordsOf(r.below(order.Names()[i+1:])) {
+			return name, roleOwner
+		}
+	}
+	if care && r.detector.Phase() != messenger.PhaseLeft && r.cells.Home(bucket) == r.ownCell && !r.steppedDown {
+		return r.self, roleOwner
+	}
+	return r.self, roleStandIn
+}
+
+// handedAway reports whether this host, on its way out, has already given a
+// bucket to the next host of its rank order.
+func (r *Reducer) handedAway(names []string) bool {
+	if !r.shutdown {
+		return false
+	}
+	for _, name := range names {
+		if r.takesPart(name, true) {
+			h := r.handovers[name]
+			return h != nil && h.doneSent
+		}
+	}
+	return false
+}
+
+// below returns the first ready host of a rank order's rest.
+func (r *Reducer) below(names []string) string {
+	for _, name := range names {
+		if r.takesPart(name, false) {
+			return name
+		}
+	}
+	return ""
+}
+
+// takesPart reports whether another host acts as an owner at present.
+func (r *Reducer) takesPart(name string, care bool) bool {
+	state := r.detector.State(name)
+	switch state.Liveness {
+	case messenger.LivenessAlive:
+	case messenger.LivenessSuspect:
+		if !care {
+			return false
+		}
+	case messenger.LivenessUnknown, messenger.LivenessDead:
+		return false
+	}
+	switch state.Phase {
+	case messenger.PhaseReady:
+		return true
+	case messenger.PhaseLeaving:
+		return r.leavingFrom[name] != state.Incarnation
+	case messenger.PhaseJoining, messenger.PhaseWaited:
+		return r.handedTo[name] == state.Incarnation && state.Incarnation != 0
+	case messenger.PhaseLeft:
+		return false
+	}
+	return false
+}
+
+// act handles a packet at the host that is responsible for it.
+func (r *Reducer) act(in *inbound, role role) {
+	if in.direction == messenger.DirectionToCaller {
+		r.answer(in)
+		return
+	}
+	switch in.packet.Kind {
+	case messenger.KindRequest:
+		r.request(in, role)
+	case messenger.KindControl, messenger.KindAnswer:
+		r.control(in)
+	}
+}
+
+// control passes an acknowledgement or reset on to where its flow is.
+func (r *Reducer) control(in *inbound) {
+	f, known := r.flows.get(in.key, in.hash)
+	if !known {
+		at, ok := in.service.earlier(in.hash, r.now)
+		if !ok {
+			r.count(DropNoTarget)
+			return
+		}
+		f = flow{target: at, other: noTarget}
+	}
+	r.touch(in, f)
+	if in.service.registry[f.target].present {
+		r.pass(in, f.target)
+	}
+	// While plain requests go elsewhere, an acknowledgement does not say which
+	// target it is meant for; the wrong one ignores it (RFC 7252, section 4.2).
+	if f.other != noTarget && in.service.registry[f.other].present {
+		r.pass(in, f.other)
+	}
+}
+
+func (r *Reducer) pass(in *inbound, at uint16) {
+	r.sendTarget(ToTarget{
+		Target:  in.service.registry[at].address,
+		Return:  resolver.ReturnAddress(in.service.settings.ReturnPrefix, in.key),
+		Payload: in.packet.Payload,
+	})
+}
+
+func (r *Reducer) deliver(in *inbound) {
+	r.sendCaller(ToCaller{
+		Caller:  in.key.Caller(),
+		Service: in.service.settings.Address,
+		Payload: in.packet.Payload,
+	})
+}
+
+// touch notes that a flow is in use. Writing the table for each packet would be
+// a waste, so the time is only as fine as expiry needs.
+func (r *Reducer) touch(in *inbound, f flow) {
+	const grain = 8
+	now := seconds(r.now)
+	if f.seen+grain > now && f.seen != 0 {
+		return
+	}
+	f.seen = max(now, 1)
+	r.flows.put(in.key, in.hash, f)
+}
--- /dev/null
+++ b/core/reducer/stats.go
@@ -0,0 +1,82 @@
+package reducer
+
+// Reason says why a packet was dropped, a request refused, or counts something
+// else that operators watch.
+type Reason uint8
+
+// The reasons, in the order of the metrics.
+const (
+	DropUnknownService Reason = iota
+	DropUnknownCaller
+	DropUnknownTarget
+	DropNoTarget
+	DropHopLimit
+	DropLateAnswer
+	DropDuplicate
+	DropHeldOverflow
+	RefuseDeadline
+	RefuseQueueFull
+	RefuseNoTarget
+	RefuseNoOwner
+	RefuseUncertain
+	RefuseUnanswered
+	RefuseHeld
+	CountForwarded
+	CountOwned
+	CountStandIn
+	CountRetry
+	CountMoved
+	CountExceptions
+	CountWitnessed
+	CountUnwitnessed
+	CountTakeover
+	numReasons
+)
+
+var reasonNames = [numReasons]string{
+	DropUnknownService: "dropUnknownService",
+	DropUnknownCaller:  "dropUnknownCaller",
+	DropUnknownTarget:  "dropUnknownTarget",
+	DropNoTarget:       "dropNoTarget",
+	DropHopLimit:       "dropHopLimit",
+	DropLateAnswer:     "dropLateAnswer",
+	DropDuplicate:      "dropDuplicate",
+	DropHeldOverflow:   "dropHeldOverflow",
+	RefuseDeadline:     "refuseDeadline",
+	RefuseQueueFull:    "refuseQueueFull",
+	RefuseNoTarget:     "refuseNoTarget",
+	RefuseNoOwner:      "refuseNoOwner",
+	RefuseUncertain:    "refuseUncertain",
+	RefuseUnanswered:   "refuseUnanswered",
+	RefuseHeld:         "refuseHeld",
+	CountForwarded:     "forwarded",
+	CountOwned:         "owned",
+	CountStandIn:       "standIn",
+	CountRetry:         "retries",
+	CountMoved:         "flowsMoved",
+	CountExceptions:    "exceptionsSent",
+	CountWitnessed:     "witnessed",
+	CountUnwitnessed:   "unwitnessed",
+	CountTakeover:      "takeovers",
+}
+
+func (r Reason) String() string {
+	if r < numReasons {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
+
+// Reasons lists every Reason in order.
+func Reasons() []Reason {
+	reasons := make([]Reason, numReasons)
+	for i := range reasons {
+		reasons[i] = Reason(i)
+	}
+	return reasons
+}
+
+func (r *Reducer) count(reason Reason) { r.counts[reason]++ }
+
+// Count returns how often something happened since the start.
+func (r *Reducer) Count(reason Reason) uint64 { return r.counts[reason] }
--- /dev/null
+++ b/core/resolver/build.go
@@ -0,0 +1,470 @@
+package resolver
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"go.yaml.in/yaml/v3"
+)
+
+// Value is one value in force somewhere in the tree, and where it comes from.
+type Value struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+	// Level names the place that set the value, such as "defaults" or
+	// "regions.sicily.services.ledger"; "built in" where the tree says nothing.
+	Level string `json:"level"`
+	Line  int    `json:"line"`
+}
+
+// origin says which line of which level set a key.
+type origin struct {
+	level string
+	line  int
+}
+
+// inherited is a policy on its way down the tree.
+type inherited struct {
+	policy  Policy
+	origins map[string]origin
+}
+
+func (in inherited) copied() inherited {
+	origins := make(map[string]origin, len(in.origins))
+	for k, o := range in.origins {
+		origins[k] = o
+	}
+	return inherited{policy: in.policy, origins: origins}
+}
+
+// builder walks one document. It collects findings instead of stopping at the
+// first, so that an operator mends a document in one go.
+type builder struct {
+	file     string
+	findings []Finding
+	settings Settings
+	// zones maps each availability zone to its region.
+	zones      map[string]string
+	zonePolicy map[string]*yaml.Node
+	addresses  map[netip.AddrPort]string
+	names      map[string]string
+}
+
+// Resolve parses, builds and checks a document. The returned Settings are
+// complete only if err is nil; err is an *Error that holds every finding.
+func Resolve(file string, document []byte) (*Settings, error) {
+	const op = "resolve settings"
+	if len(document) > MaxDocumentBytes {
+		return nil, &Error{Op: op, Kind: KindTooLarge, Findings: []Finding{{
+			File: file, Line: 1, Path: ".",
+			Problem:  fmt.Sprintf("the document has %d bytes", len(document)),
+			Expected: fmt.Sprintf("at most %d bytes", MaxDocumentBytes),
+			Fix:      "move values that siblings repeat into their parent's defaults",
+		}}}
+	}
+	var root yaml.Node
+	if err := yaml.Unmarshal(document, &root); err != nil {
+		return nil, &Error{Op: op, Kind: KindSyntax, Err: err}
+	}
+	b := &builder{
+		file:       file,
+		settings:   Settings{explained: map[string][]Value{}},
+		zones:      map[string]string{},
+		zonePolicy: map[string]*yaml.Node{},
+		addresses:  map[netip.AddrPort]string{},
+		names:      map[string]string{},
+	}
+	if len(root.Content) == 0 {
+		b.find(&yaml.Node{Line: 1}, ".", "the document is empty", "a mapping with version and regions", "start from a file under examples/")
+	} else {
+		b.root(root.Content[0])
+	}
+	if len(b.findings) > 0 {
+		return nil, &Error{Op: op, Kind: KindInvalid, Findings: b.findings}
+	}
+	settings := b.settings
+	settings.index()
+	return &settings, nil
+}
+
+func (b *builder) find(node *yaml.Node, path, problem, expected, fix string) {
+	line := 0
+	if node != nil {
+		line = node.Line
+	}
+	b.findings = append(b.findings, Finding{File: b.file, Line: line, Path: path, Problem: problem, Expected: expected, Fix: fix})
+}
+
+// entry is one key of a mapping, with its place.
+type entry struct {
+	key   string
+	path  string
+	node  *yaml.Node
+	value *yaml.Node
+}
+
+// mapping lists a mapping's entries in the order of the file, reporting a
+// node that is no mapping and keys that stand twice.
+func (b *builder) mapping(node *yaml.Node, path string) []entry {
+	if node.Kind == yaml.AliasNode {
+		node = node.Alias
+	}
+	if node.Kind == yaml.ScalarNode && node.Tag == "!!null" {
+		return nil
+	}
+	if node.Kind != yaml.MappingNode {
+		b.find(node, path, "this is not a mapping", "keys with values", "indent the keys below "+path)
+		return nil
+	}
+	seen := map[string]bool{}
+	var entries []entry
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key := node.Content[i]
+		e := entry{key: key.Value, path: join(path, key.Value), node: key, value: node.Content[i+1]}
+		if seen[e.key] {
+			b.find(key, e.path, "the key stands twice", "each key once", "remove one of the two")
+			continue
+		}
+		seen[e.key] = true
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func (b *builder) unknown(e entry, known ...string) {
+	b.find(e.node, e.path, "unknown key", "one of "+strings.Join(known, ", "), "correct the spelling or remove the key")
+}
+
+func (b *builder) root(node *yaml.Node) {
+	base := inherited{policy: DefaultPolicy(), origins: map[string]origin{}}
+	entries := b.mapping(node, "")
+	for _, e := range entries {
+		switch e.key {
+		case "version":
+			if e.value.Value != "1" {
+				b.find(e.value, e.path, "unknown version "+e.value.Value, "1", "write version: 1")
+			}
+		case "peerKeys":
+			b.peerKeys(e)
+		case "defaults":
+			base = b.defaults(e.value, "defaults", base)
+		case "regions":
+		default:
+			b.unknown(e, "version", "peerKeys", "defaults", "regions")
+		}
+	}
+	for _, e := range entries {
+		if e.key != "regions" {
+			continue
+		}
+		for _, region := range b.mapping(e.value, "regions") {
+			b.region(region, base)
+		}
+	}
+	if len(b.settings.Hosts) == 0 && len(b.findings) == 0 {
+		b.find(node, "regions", "the tree has no hosts", "at least one host", "add hosts below an availability zone")
+	}
+	slices.SortFunc(b.settings.Hosts, func(x, y Host) int { return strings.Compare(x.Name, y.Name) })
+	slices.SortFunc(b.settings.Services, func(x, y Service) int { return int(x.ID) - int(y.ID) })
+}
+
+func (b *builder) peerKeys(e entry) {
+	const minKeyLength = 16
+	if e.value.Kind != yaml.SequenceNode || len(e.value.Content) == 0 || len(e.value.Content) > 2 {
+		b.find(e.value, e.path, "this is not a list of one or two keys", "one key, or two while keys are rotated", "write a list: the first key signs, both are accepted")
+		return
+	}
+	for _, item := range e.value.Content {
+		if len(item.Value) < minKeyLength {
+			b.find(item, e.path, "the key is short", fmt.Sprintf("at least %d characters", minKeyLength), "make a new random key")
+			continue
+		}
+		b.settings.PeerKeys = append(b.settings.PeerKeys, Secret(item.Value))
+	}
+}
+
+// defaults applies a level's defaults to what the level inherits.
+func (b *builder) defaults(node *yaml.Node, level string, parent inherited) inherited {
+	in := parent.copied()
+	for _, e := range b.mapping(node, level) {
+		b.apply(e, level, &in)
+	}
+	return in
+}
+
+// apply sets one inheritable key and reports whether the key is one.
+func (b *builder) apply(e entry, level string, in *inherited) bool {
+	f, ok := fieldByKey(e.key)
+	if !ok {
+		keys := make([]string, 0, len(policyFields))
+		for _, f := range policyFields {
+			keys = append(keys, f.key)
+		}
+		b.unknown(e, keys...)
+		return false
+	}
+	if e.value.Kind != yaml.ScalarNode || !f.parse(&in.policy, e.value.Value) {
+		b.find(e.value, e.path, fmt.Sprintf("%q does not fit", e.value.Value), f.expected, "write a value in that range")
+		return true
+	}
+	in.origins[e.key] = origin{level: level, line: e.value.Line}
+	return true
+}
+
+func (b *builder) region(region entry, parent inherited) {
+	in := parent
+	entries := b.mapping(region.value, region.path)
+	var prefix netip.Prefix
+	for _, e := range entries {
+		switch e.key {
+		case "defaults":
+			in = b.defaults(e.value, e.path, parent)
+		case "returnPrefix":
+			prefix = b.returnPrefix(e)
+		case "availabilityZones":
+			for _, zone := range b.mapping(e.value, e.path) {
+				b.zone(zone, region.key)
+			}
+		case "services":
+		default:
+			b.unknown(e, "defaults", "returnPrefix", "availabilityZones", "services")
+		}
+	}
+	if !prefix.IsValid() {
+		b.find(region.node, region.path, "returnPrefix is missing", "an IPv6 /64 that all hosts share towards targets", "add returnPrefix: fd00:51::/64 or the like")
+	}
+	for _, e := range entries {
+		if e.key != "services" {
+			continue
+		}
+		for _, service := range b.mapping(e.value, e.path) {
+			b.service(service, region.key, prefix, in)
+		}
+	}
+}
+
+func (b *builder) returnPrefix(e entry) netip.Prefix {
+	prefix, err := netip.ParsePrefix(e.value.Value)
+	if err != nil || !prefix.Addr().Is6() || prefix.Bits() != 64 || prefix != prefix.Masked() {
+		b.find(e.value, e.path, fmt.Sprintf("%q does not fit", e.value.Value), "an IPv6 /64 prefix such as fd00:51::/64", "use a /64 that the fabric routes to the hosts")
+		return netip.Prefix{}
+	}
+	return prefix
+}
+
+func (b *builder) zone(zone entry, region string) {
+	if other, ok := b.zones[zone.key]; ok {
+		b.find(zone.node, zone.path, "the availability zone stands in region "+other+" too", "each name once", "rename one of the two")
+		return
+	}
+	b.zones[zone.key] = region
+	cells := 1
+	var hosts []entry
+	for _, e := range b.mapping(zone.value, zone.path) {
+		switch e.key {
+		case "defaults":
+			b.zonePolicy[zone.key] = e.value
+			b.defaults(e.value, e.path, inherited{})
+		case "cells":
+			n, err := strconv.Atoi(e.value.Value)
+			if err != nil || n < 1 || n > 1000 {
+				b.find(e.value, e.path, fmt.Sprintf("%q does not fit", e.value.Value), "a whole number from 1 to 1000", "use one cell for each 8 hosts")
+				continue
+			}
+			cells = n
+		case "hosts":
+			hosts = b.mapping(e.value, e.path)
+		default:
+			b.unknown(e, "defaults", "cells", "hosts")
+		}
+	}
+	sizes := map[string]int{}
+	for _, e := range hosts {
+		host := b.host(e, region, zone.key, cells)
+		sizes[host.Cell]++
+		if sizes[host.Cell] == MaxCellHosts+1 {
+			b.find(e.node, e.path, "cell "+host.Cell+" has more than 8 hosts", "at most 8 hosts in a cell", "raise cells of the availability zone, or give hosts a cell each")
+		}
+	}
+}
+
+func (b *builder) host(e entry, region, zone string, cells int) Host {
+	host := Host{Name: e.key, Region: region, AvailabilityZone: zone}
+	cell := xxhash.Sum64String(e.key) % uint64(cells)
+	b.unique(e, "host "+e.key)
+	for _, f := range b.mapping(e.value, e.path) {
+		switch f.key {
+		case "address":
+			host.Address = b.address(f)
+		case "fabricAddress":
+			host.FabricAddress = b.address(f)
+		case "cell":
+			n, err := strconv.ParseUint(f.value.Value, 10, 16)
+			if err != nil || n >= uint64(cells) {
+				b.find(f.value, f.path, fmt.Sprintf("%q does not fit", f.value.Value), fmt.Sprintf("a whole number below %d, the zone's cells", cells), "write a cell that the zone has")
+				continue
+			}
+			cell = n
+		default:
+			b.unknown(f, "address", "fabricAddress", "cell")
+		}
+	}
+	host.Cell = fmt.Sprintf("%s/%d", zone, cell)
+	b.required(e, "address", host.Address.IsValid())
+	b.required(e, "fabricAddress", host.FabricAddress.IsValid())
+	b.settings.Hosts = append(b.settings.Hosts, host)
+	return host
+}
+
+func (b *builder) required(e entry, key string, present bool) {
+	if present {
+		return
+	}
+	for _, f := range b.findings {
+		if f.Path == join(e.path, key) {
+			return
+		}
+	}
+	b.find(e.node, e.path, key+" is missing", "a value for "+key, "add "+key)
+}
+
+// unique reports a name that stands twice in the whole tree: status, logs and
+// metrics name hosts, services and targets without their place.
+func (b *builder) unique(e entry, name string) {
+	if other, ok := b.names[name]; ok {
+		b.find(e.node, e.path, "the name stands at "+other+" too", "each name once", "rename one of the two")
+		return
+	}
+	b.names[name] = e.path
+}
+
+// address reads an IPv4 address and port that nothing else in the tree uses.
+func (b *builder) address(e entry) netip.AddrPort {
+	address, err := netip.ParseAddrPort(e.value.Value)
+	if err != nil || !address.Addr().Is4() || address.Port() == 0 {
+		b.find(e.value, e.path, fmt.Sprintf("%q does not fit", e.value.Value), "an IPv4 address and port such as 10.0.0.1:5683", "write numbers, not names")
+		return netip.AddrPort{}
+	}
+	if other, ok := b.addresses[address]; ok {
+		b.find(e.value, e.path, "the address stands at "+other+" too", "each address once", "give one of the two another address")
+		return netip.AddrPort{}
+	}
+	b.addresses[address] = e.path
+	return address
+}
+
+func (b *builder) service(e entry, region string, prefix netip.Prefix, parent inherited) {
+	service := Service{Name: e.key, Region: region, ReturnPrefix: prefix}
+	in := parent.copied()
+	b.unique(e, "service "+e.key)
+	var targets []entry
+	for _, f := range b.mapping(e.value, e.path) {
+		switch f.key {
+		case "id":
+			service.ID = b.serviceID(f)
+		case "tenant":
+			service.Tenant = f.value.Value
+		case "address":
+			service.Address = b.address(f)
+		case "targets":
+			targets = b.mapping(f.value, f.path)
+		default:
+			b.apply(f, e.path, &in)
+		}
+	}
+	b.required(e, "id", service.ID != 0)
+	b.required(e, "tenant", service.Tenant != "")
+	b.required(e, "address", service.Address.IsValid())
+	service.Policy = in.policy
+	b.explain(e.path, in)
+	for _, t := range targets {
+		service.Targets = append(service.Targets, b.target(t, region, in))
+	}
+	slices.SortFunc(service.Targets, func(x, y Target) int { return strings.Compare(x.Name, y.Name) })
+	b.settings.Services = append(b.settings.Services, service)
+}
+
+func (b *builder) serviceID(e entry) ServiceID {
+	n, err := strconv.ParseUint(e.value.Value, 10, 16)
+	if err != nil || n == 0 {
+		b.find(e.value, e.path, fmt.Sprintf("%q does not fit", e.value.Value), "a whole number from 1 to 65535", "give the service a number of its own and never use it again")
+		return 0
+	}
+	b.unique(e, "id "+e.value.Value)
+	return ServiceID(n)
+}
+
+func (b *builder) target(e entry, region string, parent inherited) Target {
+	target := Target{Name: e.key}
+	in := parent.copied()
+	b.unique(e, "target "+e.key)
+	entries := b.mapping(e.value, e.path)
+	for _, f := range entries {
+		if f.key == "availabilityZone" {
+			target.AvailabilityZone = b.targetZone(f, region)
+		}
+	}
+	if node, ok := b.zonePolicy[target.AvailabilityZone]; ok {
+		b.applyZone(node, target.AvailabilityZone, region, &in)
+	}
+	for _, f := range entries {
+		switch f.key {
+		case "availabilityZone":
+		case "address":
+			target.Address = b.address(f)
+		default:
+			b.apply(f, e.path, &in)
+		}
+	}
+	b.required(e, "availabilityZone", target.AvailabilityZone != "")
+	b.required(e, "address", target.Address.IsValid())
+	target.Policy = in.policy
+	b.explain(e.path, in)
+	return target
+}
+
+// applyZone lays a zone's defaults under a target's own values. What the
+// service itself says goes before the zone's defaults.
+func (b *builder) applyZone(node *yaml.Node, zone, region string, in *inherited) {
+	level := fmt.Sprintf("regions.%s.availabilityZones.%s.defaults", region, zone)
+	quiet := &builder{file: b.file}
+	for _, e := range quiet.mapping(node, level) {
+		from := in.origins[e.key]
+		if strings.Contains(from.level, ".services.") {
+			continue
+		}
+		quiet.apply(e, level, in)
+	}
+}
+
+func (b *builder) targetZone(e entry, region string) string {
+	in, ok := b.zones[e.value.Value]
+	if !ok || in != region {
+		b.find(e.value, e.path, fmt.Sprintf("no availability zone %q in region %s", e.value.Value, region), "an availability zone of the same region", "correct the name or add the zone")
+		return e.value.Value
+	}
+	return e.value.Value
+}
+
+func (b *builder) explain(path string, in inherited) {
+	values := make([]Value, 0, len(policyFields))
+	for _, f := range policyFields {
+		from, ok := in.origins[f.key]
+		if !ok {
+			from = origin{level: "built in"}
+		}
+		values = append(values, Value{Key: f.key, Value: f.show(in.policy), Level: from.level, Line: from.line})
+	}
+	b.settings.explained[path] = values
+}
--- /dev/null
+++ b/core/resolver/policy.go
@@ -0,0 +1,214 @@
+package resolver
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// TargetState says what a target may be given.
+type TargetState uint8
+
+// The states of a target, as the settings tree writes them.
+const (
+	// TargetActive receives new flows.
+	TargetActive TargetState = iota + 1
+	// TargetDraining keeps its established flows and receives no new ones.
+	TargetDraining
+)
+
+func (s TargetState) String() string {
+	if s == TargetDraining {
+		return "draining"
+	}
+	return "active"
+}
+
+// Priority orders services when a host has to shed work.
+type Priority uint8
+
+// The priorities, as the settings tree writes them.
+const (
+	// PriorityLow is shed first: uploads that can wait.
+	PriorityLow Priority = iota + 1
+	// PriorityNormal is shed next.
+	PriorityNormal
+	// PriorityHigh is shed last: checks and presses.
+	PriorityHigh
+)
+
+func (p Priority) String() string {
+	switch p {
+	case PriorityLow:
+		return "low"
+	case PriorityHigh:
+		return "high"
+	}
+	return "normal"
+}
+
+// Policy holds every value that a child inherits from its parent in the
+// settings tree. A Policy is immutable; With methods return changed copies.
+type Policy struct {
+	// RequestDeadline bounds a request that carries no deadline of its own.
+	RequestDeadline time.Duration
+	// RepeatWindow is the longest time over which a caller repeats one request
+	// with the same message ID, plus the time a datagram may spend in the network.
+	RepeatWindow time.Duration
+	// FlowMemory is how long an idle flow stays on its target.
+	FlowMemory time.Duration
+	// WarmUp is how long a target that is new takes to reach its full share.
+	WarmUp time.Duration
+	// QueueLength bounds the requests that wait for one target, on one host.
+	QueueLength int
+	// RetryShare bounds retries as a share of requests, 0 to 1.
+	RetryShare float64
+	// MaxEjectedShare bounds the targets of a service that health may exclude, 0 to 1.
+	MaxEjectedShare float64
+	// Priority decides what is shed first.
+	Priority Priority
+	// Weight is a target's share of new flows, relative to its siblings.
+	Weight int
+	// Slots is how many requests a target runs at once.
+	Slots int
+	// Connections is how many flows a target holds.
+	Connections int
+	// State says whether a target receives new flows.
+	State TargetState
+}
+
+// DefaultPolicy is in force where the tree says nothing.
+func DefaultPolicy() Policy {
+	return Policy{
+		RequestDeadline: 5 * time.Second,
+		RepeatWindow:    60 * time.Second,
+		FlowMemory:      10 * time.Minute,
+		WarmUp:          10 * time.Second,
+		QueueLength:     64,
+		RetryShare:      0.1,
+		MaxEjectedShare: 0.5,
+		Priority:        PriorityNormal,
+		Weight:          100,
+		Slots:           3,
+		Connections:     2000,
+		State:           TargetActive,
+	}
+}
+
+// field describes one inheritable key: how it is written, checked and shown.
+type field struct {
+	key      string
+	expected string
+	// effect tells an operator what a change of the key does to flows.
+	effect string
+	parse  func(policy *Policy, text string) bool
+	show   func(policy Policy) string
+}
+
+// policyFields is the table of all inheritable keys, in the order in which
+// explain prints them.
+var policyFields = []field{
+	durationField("requestDeadline", time.Millisecond, 10*time.Minute, func(p *Policy) *time.Duration { return &p.RequestDeadline }),
+	durationField("repeatWindow", time.Second, 10*time.Minute, func(p *Policy) *time.Duration { return &p.RepeatWindow }),
+	durationField("flowMemory", time.Second, 24*time.Hour, func(p *Policy) *time.Duration { return &p.FlowMemory }),
+	durationField("warmUp", 0, time.Hour, func(p *Policy) *time.Duration { return &p.WarmUp }),
+	intField("queueLength", 0, 100_000, "", func(p *Policy) *int { return &p.QueueLength }),
+	shareField("retryShare", func(p *Policy) *float64 { return &p.RetryShare }),
+	shareField("maxEjectedShare", func(p *Policy) *float64 { return &p.MaxEjectedShare }),
+	{
+		key:      "priority",
+		expected: "one of low, normal, high",
+		parse: func(p *Policy, text string) bool {
+			switch text {
+			case "low":
+				p.Priority = PriorityLow
+			case "normal":
+				p.Priority = PriorityNormal
+			case "high":
+				p.Priority = PriorityHigh
+			default:
+				return false
+			}
+			return true
+		},
+		show: func(p Policy) string { return p.Priority.String() },
+	},
+	intField("weight", 1, 10_000, "new flows move; established flows stay", func(p *Policy) *int { return &p.Weight }),
+	intField("slots", 1, 10_000, "", func(p *Policy) *int { return &p.Slots }),
+	intField("connections", 1, 1_000_000, "", func(p *Policy) *int { return &p.Connections }),
+	{
+		key:      "state",
+		expected: "one of active, draining",
+		effect:   "a draining target gets no new flows; established flows stay",
+		parse: func(p *Policy, text string) bool {
+			switch text {
+			case "active":
+				p.State = TargetActive
+			case "draining":
+				p.State = TargetDraining
+			default:
+				return false
+			}
+			return true
+		},
+		show: func(p Policy) string { return p.State.String() },
+	},
+}
+
+func durationField(key string, low, high time.Duration, at func(*Policy) *time.Duration) field {
+	return field{
+		key:      key,
+		expected: fmt.Sprintf("a duration from %s to %s, such as 5s", low, high),
+		parse: func(p *Policy, text string) bool {
+			d, err := time.ParseDuration(text)
+			if err != nil || d < low || d > high {
+				return false
+			}
+			*at(p) = d
+			return true
+		},
+		show: func(p Policy) string { return at(&p).String() },
+	}
+}
+
+func intField(key string, low, high int, effect string, at func(*Policy) *int) field {
+	return field{
+		key:      key,
+		expected: fmt.Sprintf("a whole number from %d to %d", low, high),
+		effect:   effect,
+		parse: func(p *Policy, text string) bool {
+			n, err := strconv.Atoi(text)
+			if err != nil || n < low || n > high {
+				return false
+			}
+			*at(p) = n
+			return true
+		},
+		show: func(p Policy) string { return strconv.Itoa(*at(&p)) },
+	}
+}
+
+func shareField(key string, at func(*Policy) *float64) field {
+	return field{
+		key:      key,
+		expected: "a share from 0 to 1, such as 0.1",
+		parse: func(p *Policy, text string) bool {
+			share, err := strconv.ParseFloat(text, 64)
+			if err != nil || !(share >= 0 && share <= 1) {
+				return false
+			}
+			*at(p) = share
+			return true
+		},
+		show: func(p Policy) string { return strconv.FormatFloat(*at(&p), 'g', -1, 64) },
+	}
+}
+
+func fieldByKey(key string) (field, bool) {
+	for _, f := range policyFields {
+		if f.key == key {
+			return f, true
+		}
+	}
+	return field{}, false
+}
--- /dev/null
+++ b/operator/main.go
@@ -0,0 +1,4 @@
+// Command spanctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/internal/loader/client.go
@@ -0,0 +1,161 @@
+package loader
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/net/blockwise"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+)
+
+const (
+	maxDatagram = 2048
+	maxOptions  = 16
+	// ackTimeout and maxRetransmit are what RFC 7252 calls ACK_TIMEOUT and
+	// MAX_RETRANSMIT, the former shortened: a request is repeated after 0.5,
+	// 1.5, 3.5 and 7.5 s, and given up after 15.5 s.
+	ackTimeout    = 500 * time.Millisecond
+	maxRetransmit = 4
+)
+
+// client is one flow: a socket of its own towards one service.
+type client struct {
+	conn  *net.UDPConn
+	next  uint16
+	token uint64
+	// notified gets every notification of the flow's stream.
+	notified func(payload string)
+	// repeats counts datagrams that were sent again.
+	repeats int
+}
+
+func newClient(service netip.AddrPort, seed uint16) (*client, error) {
+	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(service))
+	if err != nil {
+		return nil, &Error{Op: "dial", Err: err}
+	}
+	return &client{conn: conn, next: seed, token: uint64(seed) << 32}, nil
+}
+
+func (c *client) close() { _ = c.conn.Close() }
+
+// request is what a client sends.
+type request struct {
+	code    codes.Code
+	path    string
+	payload []byte
+	observe int
+	block   int64
+	more    bool
+	blocks  bool
+}
+
+const noObserve = -1
+
+func (c *client) encode(r request) ([]byte, uint16, uint64, error) {
+	c.next++
+	c.token++
+	var token [8]byte
+	binary.BigEndian.PutUint64(token[:], c.token)
+	var options message.Options
+	var err error
+	if r.observe != noObserve {
+		options, _, err = options.SetObserve(make([]byte, 4), uint32(r.observe))
+		if err != nil {
+			return nil, 0, 0, &Error{Op: "encode", Err: err}
+		}
+	}
+	options, _, err = options.SetPath(make([]byte, 64), r.path)
+	if err != nil {
+		return nil, 0, 0, &Error{Op: "encode", Err: err}
+	}
+	if r.blocks {
+		value, err := blockwise.EncodeBlockOption(blockwise.SZX512, r.block, r.more)
+		if err != nil {
+			return nil, 0, 0, &Error{Op: "encode", Err: err}
+		}
+		options, _, err = options.SetUint32(make([]byte, 4), message.Block1, value)
+		if err != nil {
+			return nil, 0, 0, &Error{Op: "encode", Err: err}
+		}
+	}
+	m := message.Message{Token: token[:], Code: r.code, Options: options, Payload: r.payload, MessageID: int32(c.next), Type: message.Confirmable}
+	buffer := make([]byte, maxDatagram)
+	n, err := coder.DefaultCoder.Encode(m, buffer)
+	if err != nil {
+		return nil, 0, 0, &Error{Op: "encode", Err: err}
+	}
+	return buffer[:n], c.next, c.token, nil
+}
+
+// do sends a request, repeats it as RFC 7252 says, and returns the answer.
+func (c *client) do(ctx context.Context, r request) (message.Message, error) {
+	datagram, _, token, err := c.encode(r)
+	if err != nil {
+		return message.Message{}, err
+	}
+	timeout := ackTimeout
+	for range maxRetransmit + 1 {
+		if _, err := c.conn.Write(datagram); err != nil && ctx.Err() != nil {
+			return message.Message{}, &Error{Op: "send", Err: err}
+		}
+		m, err := c.wait(ctx, token, time.Now().Add(timeout))
+		if err == nil || ctx.Err() != nil {
+			return m, err
+		}
+		timeout *= 2
+		c.repeats++
+	}
+	return message.Message{}, &Error{Op: "await answer", Err: errNoAnswer}
+}
+
+var errNoAnswer = errors.New("no answer to any of the datagrams")
+
+// wait reads until the answer to a token comes or the deadline passes.
+func (c *client) wait(ctx context.Context, token uint64, deadline time.Time) (message.Message, error) {
+	if end, ok := ctx.Deadline(); ok && end.Before(deadline) {
+		deadline = end
+	}
+	for {
+		m, err := c.read(deadline)
+		if err != nil {
+			return message.Message{}, err
+		}
+		if m.Code != codes.Empty && len(m.Token) == 8 && binary.BigEndian.Uint64(m.Token) == token {
+			return m, nil
+		}
+	}
+}
+
+// read reads one message and passes notifications on.
+func (c *client) read(deadline time.Time) (message.Message, error) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		if err := c.conn.SetReadDeadline(deadline); err != nil {
+			return message.Message{}, &Error{Op: "read", Err: err}
+		}
+		n, err := c.conn.Read(buffer)
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, net.ErrClosed) {
+			return message.Message{}, &Error{Op: "read", Err: err}
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue // The fabric was not up when an earlier packet was sent.
+		}
+		m := message.Message{Options: make(message.Options, 0, maxOptions)}
+		if _, err := coder.DefaultCoder.Decode(buffer[:n], &m); err != nil {
+			continue
+		}
+		if m.Type != message.Acknowledgement && m.Options.HasOption(message.Observe) && c.notified != nil {
+			c.notified(string(m.Payload))
+		}
+		return m, nil
+	}
+}
--- /dev/null
+++ b/standin/internal/publisher/publisher.go
@@ -0,0 +1,197 @@
+// Package publisher is a small stand-in for the platform: a settings document
+// that can be read and watched by revision, and a list of hosts that lags. Its
+// control paths make it fail.
+package publisher
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cranberryspan.dev/core/resolver"
+)
+
+// Error is the one error type of this package.
+type Error struct {
+	Op  string
+	Err error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// RevisionHeader bears the revision of a settings document.
+const RevisionHeader = "Settings-Revision"
+
+// Publisher is the platform's state.
+type Publisher struct {
+	listener net.Listener
+	calls    atomic.Uint64
+
+	mu        sync.Mutex
+	documents [][]byte
+	hosts     json.RawMessage
+	mode      mode
+	changed   chan struct{}
+}
+
+// mode is how the platform fails at present.
+type mode struct {
+	// Down refuses every read.
+	Down bool `json:"down"`
+	// Stale serves this revision instead of the latest; zero serves the latest.
+	Stale uint64 `json:"stale"`
+	// SlowMs delays every answer.
+	SlowMs int `json:"slowMs"`
+}
+
+// New listens on an address and publishes a first document as revision 1.
+func New(address string, document []byte) (*Publisher, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &Error{Op: "listen", Err: err}
+	}
+	return &Publisher{
+		listener:  listener,
+		documents: [][]byte{document},
+		hosts:     json.RawMessage("[]"),
+		changed:   make(chan struct{}),
+	}, nil
+}
+
+// Run serves until the context ends, and reports its end.
+func (p *Publisher) Run(ctx context.Context) <-chan error {
+	end := make(chan error, 1)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /settings", p.settings)
+	mux.HandleFunc("GET /hosts", p.listHosts)
+	mux.HandleFunc("POST /control/publish", p.publish)
+	mux.HandleFunc("POST /control/hosts", p.setHosts)
+	mux.HandleFunc("POST /control/mode", p.setMode)
+	mux.HandleFunc("GET /control/calls", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, p.calls.Load())
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		err := server.Serve(p.listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		end <- err
+	}()
+	return end
+}
+
+// admit counts a call and applies the mode; it reports whether to answer.
+func (p *Publisher) admit(w http.ResponseWriter) bool {
+	p.calls.Add(1)
+	p.mu.Lock()
+	now := p.mode
+	p.mu.Unlock()
+	time.Sleep(time.Duration(now.SlowMs) * time.Millisecond)
+	if now.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	}
+	return !now.Down
+}
+
+func (p *Publisher) settings(w http.ResponseWriter, request *http.Request) {
+	if !p.admit(w) {
+		return
+	}
+	query := request.URL.Query()
+	above, _ := strconv.ParseUint(query.Get("above"), 10, 64)
+	waitMs, _ := strconv.Atoi(query.Get("waitMs"))
+	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
+	for {
+		revision, document, changed := p.latest()
+		if revision > above || waitMs == 0 {
+			w.Header().Set(RevisionHeader, strconv.FormatUint(revision, 10))
+			_, _ = w.Write(document)
+			return
+		}
+		select {
+		case <-request.Context().Done():
+			return
+		case <-timeout:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (p *Publisher) latest() (uint64, []byte, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	revision := uint64(len(p.documents))
+	if p.mode.Stale > 0 && p.mode.Stale < revision {
+		revision = p.mode.Stale
+	}
+	return revision, p.documents[revision-1], p.changed
+}
+
+func (p *Publisher) listHosts(w http.ResponseWriter, _ *http.Request) {
+	if !p.admit(w) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, _ = w.Write(p.hosts)
+}
+
+// publish takes any document as the next revision, also an invalid one: what
+// the system makes of it is for tests to see.
+func (p *Publisher) publish(w http.ResponseWriter, request *http.Request) {
+	document, err := io.ReadAll(io.LimitReader(request.Body, 4*resolver.MaxDocumentBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.documents = append(p.documents, document)
+	revision := len(p.documents)
+	p.wake()
+	p.mu.Unlock()
+	_, _ = fmt.Fprintln(w, revision)
+}
+
+func (p *Publisher) setHosts(w http.ResponseWriter, request *http.Request) {
+	var hosts json.RawMessage
+	if err := json.NewDecoder(request.Body).Decode(&hosts); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.hosts = hosts
+	p.mu.Unlock()
+}
+
+func (p *Publisher) setMode(w http.ResponseWriter, request *http.Request) {
+	var next mode
+	if err := json.NewDecoder(request.Body).Decode(&next); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.mode = next
+	p.wake()
+	p.mu.Unlock()
+}
+
+// wake ends all waiting watches. The caller holds mu.
+func (p *Publisher) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,186 @@
+// Command standin emulates what surrounds the load balancer: the platform, the
+// fabric, targets and callers. It is for demonstrations and tests.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"cranberryspan.dev/core/resolver"
+	"cranberryspan.dev/standin/internal/loader"
+	"cranberryspan.dev/standin/internal/publisher"
+	"cranberryspan.dev/standin/internal/responder"
+	"cranberryspan.dev/standin/internal/sprayer"
+	"github.com/urfave/cli/v3"
+)
+
+// exitNotClean says that a run broke, lost, doubled or misrouted something.
+const exitNotClean = 10
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	settings := &cli.StringFlag{Name: "settings", Usage: "settings tree to emulate", Required: true}
+	command := &cli.Command{
+		Name:  "standin",
+		Usage: "emulate the platform, the fabric, targets or callers",
+		Commands: []*cli.Command{
+			{Name: "platform", Usage: "publish a settings tree", Action: platform, Flags: []cli.Flag{
+				settings,
+				&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8400"},
+			}},
+			{Name: "fabric", Usage: "spray packets over hosts", Action: fabric, Flags: []cli.Flag{
+				settings,
+				&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8500"},
+				&cli.StringFlag{Name: "control", Value: "127.0.0.1:8501"},
+				&cli.Uint64Flag{Name: "seed", Value: 1},
+			}},
+			{Name: "target", Usage: "run the targets of the tree", Action: target, Flags: []cli.Flag{
+				settings,
+				&cli.StringFlag{Name: "control", Value: "127.0.0.1:8600"},
+				&cli.StringSliceFlag{Name: "only", Usage: "names of targets; all where none is given"},
+				&cli.DurationFlag{Name: "work", Value: 10 * time.Millisecond},
+				&cli.DurationFlag{Name: "notifyEvery", Value: 200 * time.Millisecond},
+			}},
+			{Name: "caller", Usage: "load the services", Action: caller, Flags: []cli.Flag{
+				settings,
+				&cli.StringSliceFlag{Name: "work", Usage: "KIND:SERVICE:FLOWS, with streams, uploads, checks or presses"},
+				&cli.IntFlag{Name: "openRate", Usage: "new flows a second beside the others"},
+				&cli.DurationFlag{Name: "duration", Value: 20 * time.Second},
+				&cli.DurationFlag{Name: "think", Value: 100 * time.Millisecond},
+				&cli.DurationFlag{Name: "notifyEvery", Value: 200 * time.Millisecond},
+				&cli.IntFlag{Name: "uploadBlocks", Value: 20},
+				&cli.StringSliceFlag{Name: "targets", Value: []string{"127.0.0.1:8600"}, Usage: "control addresses of the targets"},
+				&cli.BoolFlag{Name: "json"},
+			}},
+		},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func readSettings(command *cli.Command) (*resolver.Settings, []byte, error) {
+	path := command.String("settings")
+	document, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	settings, err := resolver.Resolve(path, document)
+	return settings, document, err
+}
+
+func platform(ctx context.Context, command *cli.Command) error {
+	_, document, err := readSettings(command)
+	if err != nil {
+		return err
+	}
+	p, err := publisher.New(command.String("listen"), document)
+	if err != nil {
+		return err
+	}
+	return <-p.Run(ctx)
+}
+
+func fabric(ctx context.Context, command *cli.Command) error {
+	settings, _, err := readSettings(command)
+	if err != nil {
+		return err
+	}
+	inside, err := netip.ParseAddrPort(command.String("listen"))
+	if err != nil {
+		return err
+	}
+	control, err := netip.ParseAddrPort(command.String("control"))
+	if err != nil {
+		return err
+	}
+	s, err := sprayer.New(inside, control, settings, command.Uint64("seed"))
+	if err != nil {
+		return err
+	}
+	return <-s.Run(ctx)
+}
+
+func target(ctx context.Context, command *cli.Command) error {
+	settings, _, err := readSettings(command)
+	if err != nil {
+		return err
+	}
+	var only func(string) bool
+	if names := command.StringSlice("only"); len(names) > 0 {
+		only = func(name string) bool { return slices.Contains(names, name) }
+	}
+	config := responder.Config{Work: command.Duration("work"), NotifyEvery: command.Duration("notifyEvery")}
+	r, err := responder.New(config, command.String("control"), settings.Services, only)
+	if err != nil {
+		return err
+	}
+	return <-r.Run(ctx)
+}
+
+func caller(ctx context.Context, command *cli.Command) error {
+	settings, _, err := readSettings(command)
+	if err != nil {
+		return err
+	}
+	config := loader.Config{
+		OpenRate:     command.Int("openRate"),
+		Duration:     command.Duration("duration"),
+		Think:        command.Duration("think"),
+		NotifyEvery:  command.Duration("notifyEvery"),
+		UploadBlocks: command.Int("uploadBlocks"),
+		Targets:      command.StringSlice("targets"),
+		Progress:     func(line string) { fmt.Fprintln(os.Stderr, line) },
+	}
+	for _, text := range command.StringSlice("work") {
+		work, err := parseWork(text)
+		if err != nil {
+			return err
+		}
+		config.Work = append(config.Work, work)
+	}
+	report, err := loader.New(config, settings).Run(ctx)
+	if err != nil {
+		return err
+	}
+	if command.Bool("json") {
+		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+			return err
+		}
+	} else {
+		fmt.Print(report)
+	}
+	if !report.Clean() {
+		return cli.Exit("the run was not clean", exitNotClean)
+	}
+	return nil
+}
+
+func parseWork(text string) (loader.Work, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) != 3 {
+		return loader.Work{}, fmt.Errorf("work %q: expected KIND:SERVICE:FLOWS such as checks:ledger:20", text)
+	}
+	kind := loader.Kind(parts[0])
+	switch kind {
+	case loader.KindStream, loader.KindUpload, loader.KindCheck, loader.KindPress:
+	default:
+		return loader.Work{}, fmt.Errorf("work %q: expected streams, uploads, checks or presses, not %q", text, parts[0])
+	}
+	flows, err := strconv.Atoi(parts[2])
+	if err != nil || flows < 1 || flows > 10_000 {
+		return loader.Work{}, fmt.Errorf("work %q: expected 1 to 10000 flows", text)
+	}
+	return loader.Work{Kind: kind, Service: parts[1], Flows: flows}, nil
+}
