Cold start: be uncertain only when a host may have run requests

Cause: hosts of a cell that start together become ready within milliseconds of each other. The later one saw a ready host whose records had not come, took its own records for incomplete and said 'outcome unknown' for a repeat window. Ruled out: target timeouts (no refuseUnanswered), forwarding loops (no dropHopLimit); refuseUncertain alone was counted, on the later hosts. Change: heartbeats say whether a host has ever held a quorum; only such a host can have run anything. Waited hosts gather the records of hosts without quorum.

--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -58,6 +58,7 @@
 	rotation     []string
 	decorate     func(peer string) messenger.News
 	rejoined     bool
+	acted        bool
 	firstContact bool
 }
 
@@ -215,6 +216,7 @@
 	d.wake(now)
 	d.lastTick = now
 	d.expireFences(now)
+	d.acted = d.acted || d.HasQuorum(now)
 	for _, name := range d.names {
 		d.age(d.members[name], now)
 	}
@@ -455,6 +457,7 @@
 	}
 	m.revision = max(m.revision, news.Revision)
 	m.covered = news.Covered
+	m.acted = m.acted || news.Acted
 	if !m.inCell && m.liveness != messenger.LivenessDead {
 		m.silentSince = now
 		m.pingDeadline = 0
@@ -518,6 +521,7 @@
 	d.refute(r)
 	if votes(d.phase) && !d.HasQuorum(now) {
 		d.phase = messenger.PhaseJoining
+		d.acted = false
 		d.rejoined = true
 	}
 }
@@ -587,6 +591,7 @@
 	news.Incarnation = d.incarnation
 	news.Phase = d.phase
 	news.Revision = d.revision
+	news.Acted = d.acted
 	m, ok := d.members[peer]
 	if ok && m.inCell {
 		news.Cell = d.cellView()
--- a/core/detector/member.go
+++ b/core/detector/member.go
@@ -26,6 +26,8 @@
 	deadAt timekeeper.Instant
 	// covered is the host's last word on whether we hold its request identities.
 	covered bool
+	// acted says that the host has held a quorum under this incarnation.
+	acted bool
 	// deniedBy names the cell members that gave up this incarnation.
 	deniedBy map[string]bool
 	// left says that the host left for good and has not been admitted since, so
@@ -43,6 +45,7 @@
 	m.leaseDeadline = 0
 	m.grantDeadline = 0
 	m.covered = false
+	m.acted = false
 	m.pingDeadline = 0
 }
 
--- a/core/detector/quorum.go
+++ b/core/detector/quorum.go
@@ -147,6 +147,8 @@
 	// Covered is the host's last word on whether this host holds its recent
 	// request identities.
 	Covered bool
+	// Acted says that the host has held a quorum under this incarnation.
+	Acted bool
 	// DeadAt is when the host was given up.
 	DeadAt timekeeper.Instant
 }
@@ -160,7 +162,7 @@
 	if !ok {
 		return State{Host: name}
 	}
-	return State{Host: name, Liveness: m.liveness, Phase: m.phase, Incarnation: m.incarnation, Revision: m.revision, Covered: m.covered, DeadAt: m.deadAt}
+	return State{Host: name, Liveness: m.liveness, Phase: m.phase, Incarnation: m.incarnation, Revision: m.revision, Covered: m.covered, Acted: m.acted, DeadAt: m.deadAt}
 }
 
 // Others returns the names of all other hosts, sorted.
--- a/core/messenger/message.go
+++ b/core/messenger/message.go
@@ -101,6 +101,9 @@
 	Phase       Phase  `cbor:"phase"`
 	// Revision is the highest settings revision in force at the sender.
 	Revision uint64 `cbor:"rev"`
+	// Acted says that the sender has held a quorum under this incarnation, so
+	// that it may have run requests.
+	Acted bool `cbor:"acted,omitempty"`
 	// Covered tells a cell peer that it holds every recent request identity of
 	// the flows for which it is the sender's successor.
 	Covered bool `cbor:"cov,omitempty"`
@@ -223,6 +226,9 @@
 	// Peers names the hosts of the cell that the sender believes alive.
 	Peers []string `cbor:"peers,omitempty"`
 	Done  bool     `cbor:"done,omitempty"`
+	// Quorum says that the sender holds a quorum. Without one its records are
+	// its own and not necessarily the cell's latest.
+	Quorum bool `cbor:"quorum,omitempty"`
 	// Leaving tells a handover by a host that leaves from one to a host that joins.
 	Leaving bool `cbor:"leave,omitempty"`
 }
--- a/core/reducer/adoption.go
+++ b/core/reducer/adoption.go
@@ -212,4 +212,3 @@
 // queueStuck reports whether requests wait for the target without any answer,
 // in which case a good probe says little.
 func (t *target) queueStuck() bool { return t.failedRequests > 0 && t.inFlight > 0 }
-
--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -28,7 +28,8 @@
 	since timekeeper.Instant
 	// doneFrom names the hosts whose records have come, with the time.
 	doneFrom map[string]timekeeper.Instant
-	lastDone timekeeper.Instant
+	// powerlessDone says that some of these hosts held no quorum.
+	powerlessDone bool
 	// expected names hosts that others said were alive.
 	expected map[string]bool
 	// over says that the host is ready; actDeadline is when it may act.
@@ -79,17 +80,13 @@
 		r.becomeReady()
 		return
 	}
-	if r.detector.Phase() == messenger.PhaseWaited && r.detector.WholeCellWaits(r.now) {
-		if r.someoneReady() {
-			// Its records did not come, although it lives.
-			r.joining.uncertainDeadline = r.now.Add(r.repeatWindow())
-		}
+	if r.detector.Phase() == messenger.PhaseWaited && r.detector.WholeCellWaits(r.now) && !r.recordsMissing() {
 		r.becomeReady()
 	}
 }
 
 func (r *Reducer) recordsComplete() bool {
-	if len(r.joining.doneFrom) == 0 {
+	if len(r.joining.doneFrom) == 0 || r.joining.powerlessDone {
 		return false
 	}
 	for _, name := range r.detector.Cell() {
@@ -107,9 +104,14 @@
 	return true
 }
 
-func (r *Reducer) someoneReady() bool {
+// recordsMissing reports whether a host of the cell may have run requests and
+// has not handed its records over.
+func (r *Reducer) recordsMissing() bool {
 	for _, name := range r.detector.Cell() {
-		if name != r.self && r.detector.State(name).Phase == messenger.PhaseReady {
+		if name == r.self || !r.detector.State(name).Acted {
+			continue
+		}
+		if _, done := r.joining.doneFrom[name]; !done {
 			return true
 		}
 	}
@@ -168,10 +170,14 @@
 	r.leaveTick()
 }
 
-// mayHandOver reports whether a joining host can be served from here: only a
-// host with a quorum knows that its records are the valid ones.
+// mayHandOver reports whether a joining host can be served from here. Only a
+// host with a quorum knows that its records are the valid ones; a host that has
+// waited gathers the records of the others too, for a cell without a quorum.
 func (r *Reducer) mayHandOver(state detector.State) bool {
-	return isJoining(state) && state.Liveness == messenger.LivenessAlive && r.Ready() && r.detector.HasQuorum(r.now)
+	if !isJoining(state) || state.Liveness != messenger.LivenessAlive || !r.Ready() {
+		return false
+	}
+	return state.Phase == messenger.PhaseWaited || r.detector.HasQuorum(r.now)
 }
 
 func (r *Reducer) startHandover(to string, incarnation uint64, leaving bool) *handoverOut {
@@ -269,6 +275,7 @@
 
 func (r *Reducer) finishHandover(to string, h *handoverOut, chunk *messenger.Handover) {
 	chunk.Done = true
+	chunk.Quorum = r.detector.HasQuorum(r.now)
 	// What ran or was refused since the snapshot is added here.
 	chunk.Identities = append(slices.Clone(chunk.Identities), r.knownIdentities()...)
 	chunk.Requests = r.runningRequests(to)
@@ -375,6 +382,7 @@
 		return
 	}
 	r.joining.doneFrom[from] = r.now
+	r.joining.powerlessDone = r.joining.powerlessDone || !body.Quorum
 	for _, name := range body.Peers {
 		r.joining.expected[name] = true
 	}
--- a/core/reducer/snapshot.go
+++ b/core/reducer/snapshot.go
@@ -176,4 +176,3 @@
 	owner, _ := r.ownerOf(placer.BucketOf(placer.Hash(key)), true)
 	return owner
 }
-
