Leaving: stop acting at one instant; a host that leaves takes nothing over

Ruled out: lost identities (the witness held them, but was leaving itself). Change: a leaver streams to all hosts that stay, then stops acting on everything at one instant and sends the last parts; a host that leaves refuses records, and the sender begins anew without it. Measured: TestTwoHostsOfACellLeaveAtOnce red before, green after.

--- a/core/messenger/message.go
+++ b/core/messenger/message.go
@@ -249,6 +249,10 @@
 type HandoverAck struct {
 	Sequence    uint64 `cbor:"seq"`
 	Incarnation uint64 `cbor:"inc"`
+	Session     uint64 `cbor:"sess"`
+	// Refused says that the chunk was not taken in, since the receiver is about
+	// to leave itself.
+	Refused bool `cbor:"refused,omitempty"`
 }
 
 // SettingsRequest asks a peer for the settings it has in force.
--- a/core/reducer/fuzz_test.go
+++ b/core/reducer/fuzz_test.go
@@ -1,8 +1,11 @@
 package reducer_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +16,18 @@
 	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed of the fuzz, so that CI gives the same verdict each
+// run. make fuzz passes another seed.
+func TestMain(m *testing.M) {
+	seeded := slices.ContainsFunc(os.Args, func(arg string) bool { return strings.Contains(arg, "rapid.seed") })
+	if !seeded {
+		if err := flag.Set("rapid.seed", "20261202"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // Symptom: any broken promise. Sequence: a random mix of kills, pauses, cuts,
 // drains, revisions, restarts and traffic. Cause: unknown until it is found;
 // every failure becomes a test with a name.
--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -218,13 +218,14 @@
 	}
 	order := r.rankers[r.ownCell].Rank(bucket)
 	for _, name := range order.Names() {
-		if name == to {
+		switch {
+		case name == to:
 			return true
-		}
-		if name != r.self && r.takesPart(name, true) {
+		case name == r.self && !r.shutdown:
 			return false
-		}
-		if name == r.self && !r.shutdown {
+		case name != r.self && r.shutdown && r.stays(name):
+			return false
+		case name != r.self && !r.shutdown && r.takesPart(name, true):
 			return false
 		}
 	}
@@ -260,16 +261,17 @@
 	}
 }
 
-// sendChunk sends the next part of a handover, or the last one again. The chunk
-// that empties the list is the last: with it this host stops acting on the
-// flows, so nothing can be added behind it.
+// sendChunk sends the next part of a handover, or the last one again. With the
+// part that has Done set this host stops acting on the flows, so nothing can be
+// added behind it.
 func (r *Reducer) sendChunk(to string, h *handoverOut) {
 	h.resend = r.now.Add(handoverResendAfter)
 	if h.last != nil {
 		r.sendPeer(to, h.last)
 		return
 	}
-	if len(h.flows)+len(h.identities) == 0 && h.leaving && to == r.trustee() && !r.othersDone(to) {
+	drained := len(h.flows)+len(h.identities) == 0
+	if drained && h.leaving && !r.steppedDown {
 		return
 	}
 	h.sequence++
@@ -280,24 +282,13 @@
 	m := min(handoverChunk, len(h.identities))
 	chunk.Identities = h.identities[:m:m]
 	h.identities = h.identities[m:]
-	if len(h.flows)+len(h.identities) == 0 && (!h.leaving || to != r.trustee() || r.othersDone(to)) {
+	if len(h.flows)+len(h.identities) == 0 && (!h.leaving || r.steppedDown) {
 		r.finishHandover(to, h, chunk)
 	}
 	h.last = chunk
 	r.sendPeer(to, chunk)
 }
 
-// othersDone reports whether every other handover of a host that leaves is
-// through. Its votes go last: without them it could not act on what it still has.
-func (r *Reducer) othersDone(to string) bool {
-	for _, name := range r.detector.Cell() {
-		if h := r.handovers[name]; name != to && h != nil && h.leaving && !h.doneSent && r.takesPart(name, true) {
-			return false
-		}
-	}
-	return true
-}
-
 func (r *Reducer) finishHandover(to string, h *handoverOut, chunk *messenger.Handover) {
 	chunk.Done = true
 	chunk.Quorum = r.detector.HasQuorum(r.now)
@@ -320,17 +311,6 @@
 	r.passUnsent(to)
 }
 
-// trustee returns the host that gets this host's votes when it leaves: the first
-// of its cell that stays.
-func (r *Reducer) trustee() string {
-	for _, name := range r.detector.Cell() {
-		if h := r.handovers[name]; name != r.self && h != nil && h.leaving && r.takesPart(name, true) {
-			return name
-		}
-	}
-	return ""
-}
-
 // uncertainUntil is until when the hosts of the cell together may not know every
 // request that callers may repeat. One host that lost its memory does no harm:
 // the next one held its identities. Of two, one may have held the other's.
@@ -398,9 +378,15 @@
 	if r.settings == nil {
 		return
 	}
+	ack := &messenger.HandoverAck{Sequence: body.Sequence, Incarnation: body.Incarnation, Session: body.Session}
 	if !body.Leaving && body.Incarnation != r.detector.Incarnation() {
 		return
 	}
+	if body.Leaving && r.shutdown {
+		ack.Refused = true
+		r.sendPeer(from, ack)
+		return
+	}
 	r.takeRecords(body.Flows, false)
 	deadline := r.now.Add(r.repeatWindow())
 	for _, id := range body.Identities {
@@ -412,7 +398,7 @@
 	if body.Done {
 		r.takeDone(from, body)
 	}
-	r.sendPeer(from, &messenger.HandoverAck{Sequence: body.Sequence, Incarnation: body.Incarnation})
+	r.sendPeer(from, ack)
 }
 
 // handoverMark names one handover of a peer.
@@ -489,7 +475,11 @@
 
 func (r *Reducer) handoverAcked(from string, body *messenger.HandoverAck) {
 	h, ok := r.handovers[from]
-	if !ok || body.Sequence != h.sequence || body.Incarnation != h.incarnation {
+	if !ok || body.Sequence != h.sequence || body.Incarnation != h.incarnation || body.Session != h.session {
+		return
+	}
+	if body.Refused {
+		r.handoverRefused(from, h)
 		return
 	}
 	h.last = nil
@@ -500,66 +490,6 @@
 	r.sendChunk(from, h)
 }
 
-// beginLeaving starts to hand every flow over, while still acting on them.
-func (r *Reducer) beginLeaving() {
-	if r.shutdown {
-		return
-	}
-	r.shutdown = true
-	r.log("hostLeaving")
-	if r.settings == nil || !r.joining.over {
-		r.end()
-		return
-	}
-	r.detector.SetPhase(messenger.PhaseLeaving)
-	for _, name := range r.detector.Cell() {
-		if name != r.self && r.takesPart(name, true) {
-			r.startHandover(name, r.detector.Incarnation(), true)
-		}
-	}
-}
-
-// leaveTick finishes a leave. Each peer that has all its records is the owner
-// of its share from then on; when all have, this host only passes packets on.
-func (r *Reducer) leaveTick() {
-	if !r.shutdown || r.ended || !r.joining.over {
-		return
-	}
-	if r.detector.Phase() == messenger.PhaseLeaving {
-		for name, h := range r.handovers {
-			if h.leaving && !h.acked && r.takesPart(name, true) {
-				return
-			}
-		}
-		if r.running() && len(r.handovers) == 0 {
-			// The last host of a cell has nobody to hand over to, so it
-			// finishes what it has.
-			return
-		}
-		r.steppedDown = true
-		r.detector.SetPhase(messenger.PhaseLeft)
-		r.leftDeadline = r.now.Add(lingerSpan)
-		r.log("hostLeft")
-		return
-	}
-	if r.leftDeadline.Passed(r.now) {
-		r.end()
-	}
-}
-
-func (r *Reducer) running() bool {
-	return slices.ContainsFunc(r.active, func(q *request) bool {
-		return q.state == stateSent || q.state == stateQueued || q.state == stateWitnessing
-	})
-}
-
-func (r *Reducer) end() {
-	if !r.ended {
-		r.ended = true
-		r.emit(&Ended{})
-	}
-}
-
 // flowTick visits one shard: it drops idle flows, marks flows that the last
 // change made exceptions, and tells successors of exceptions.
 func (r *Reducer) flowTick() {
--- a/core/reducer/once_test.go
+++ b/core/reducer/once_test.go
@@ -175,3 +175,39 @@
 		})
 	}
 }
+
+// Symptom: a press is counted twice after two hosts were stopped together.
+// Sequence: two hosts of a cell leave at once, while the link between one of
+// them and the host that stays is cut for a moment; found by the fuzz.
+// Cause: each of the two handed flows to the other, and one took the other for
+// gone when it had only got its part.
+func TestTwoHostsOfACellLeaveAtOnce(t *testing.T) {
+	for _, cut := range [][2]string{{"a1", "a2"}, {"a2", "a3"}, {"a1", "a3"}} {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			f := newFleet(t, sicily())
+			f.Cut(cut[0], cut[1])
+			f.Step(time.Second)
+			f.Shutdown("a2")
+			f.Shutdown("a1")
+			const flows = 40
+			for number := 1; number <= 3; number++ {
+				for n := range flows {
+					f.Call("", call(n, 1, number), request(openWrite))
+				}
+				f.Step(reducerTick)
+			}
+			f.Heal(cut[0], cut[1])
+			for range 50 {
+				for number := 1; number <= 3; number++ {
+					for n := range flows {
+						f.Call("", call(n, 1, number), request(openWrite))
+					}
+				}
+				f.Step(100 * time.Millisecond)
+			}
+			require.True(t, f.Ended("a1"))
+			require.True(t, f.Ended("a2"))
+			requireAtMostOnce(t, f)
+		})
+	}
+}
--- a/core/reducer/permission.go
+++ b/core/reducer/permission.go
@@ -43,22 +43,15 @@
 	// lost counts the hosts above this one that lost their memory so recently
 	// that callers may still repeat what they ran.
 	lost := 0
-	// leavingAbove says that a host that still acts gave us its share: the
-	// buckets for which we come right after it, not those of a dead host between.
-	leavingAbove := false
-	for i, name := range order.Names() {
+	for _, name := range order.Names() {
 		if name == r.self {
-			if r.handedAway(order.Names()[i+1:]) {
-				return permissionWait
-			}
 			break
 		}
 		state := r.detector.State(name)
 		switch {
 		case r.hasLeft(state):
-			leavingAbove = leavingAbove || state.Phase != messenger.PhaseLeft
 			continue
-		case state.Liveness == messenger.LivenessDead && !leavingAbove && r.detector.Denied(name):
+		case state.Liveness == messenger.LivenessDead && r.detector.Denied(name):
 		case isJoining(state) && r.handedTo[name] != state.Incarnation:
 		default:
 			return permissionWait
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -7,7 +7,7 @@
 // (adoption.go), who owns a flow (route.go), where a flow goes (target.go,
 // flow.go), requests (request.go, answer.go), the identities that make
 // at-most-once hold (witness.go, permission.go), and joining and leaving
-// (handover.go). Package detector keeps the leases.
+// (handover.go, leaving.go). Package detector keeps the leases.
 package reducer
 
 import (
@@ -79,6 +79,7 @@
 	sessions      uint64
 	handedTo      map[string]uint64
 	leavingFrom   map[string]uint64
+	refusedBy     map[string]uint64
 	tookVotes     map[string]handoverMark
 	steppedDown   bool
 	shutdown      bool
@@ -119,6 +120,7 @@
 		handovers:     map[string]*handoverOut{},
 		handedTo:      map[string]uint64{},
 		leavingFrom:   map[string]uint64{},
+		refusedBy:     map[string]uint64{},
 		tookVotes:     map[string]handoverMark{},
 		loadsDeadline: map[string]timekeeper.Instant{},
 		powerless:     config.Start,
--- a/core/reducer/route.go
+++ b/core/reducer/route.go
@@ -207,7 +207,7 @@
 			}
 			continue
 		}
-		if r.steppedDown || r.handedAway(order.Names()[i+1:]) {
+		if r.steppedDown {
 			continue
 		}
 		if r.joining.over || r.joining.hasRecordsOf(r.below(order.Names()[i+1:])) {
@@ -220,21 +220,6 @@
 	return r.self, roleStandIn
 }
 
-// handedAway reports whether this host, on its way out, has already given a
-// bucket to the next host of its rank order.
-func (r *Reducer) handedAway(names []string) bool {
-	if !r.shutdown {
-		return false
-	}
-	for _, name := range names {
-		if r.takesPart(name, true) {
-			h := r.handovers[name]
-			return h != nil && h.doneSent
-		}
-	}
-	return false
-}
-
 // below returns the first ready host of a rank order's rest.
 func (r *Reducer) below(names []string) string {
 	for _, name := range names {
