--- a/balancer/internal/carrier/carrier.go
+++ b/balancer/internal/carrier/carrier.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"cranberryspan.dev/core/encoder"
 	"cranberryspan.dev/core/messenger"
@@ -83,6 +85,10 @@
 	// A larger buffer than the kernel allows is cut by the kernel.
 	_ = conn.SetReadBuffer(socketBufferBytes)
 	_ = conn.SetWriteBuffer(socketBufferBytes)
+	if err := enableArrivalTimes(conn); err != nil {
+		_ = conn.Close()
+		return nil, &Error{Op: "listen for datagrams", Kind: KindSocket, Err: err}
+	}
 	return conn, nil
 }
 
@@ -99,17 +105,18 @@
 	return ends
 }
 
-func (c *Carrier) read(ctx context.Context, conn *net.UDPConn, handle func([]byte) reducer.Event) error {
+func (c *Carrier) read(ctx context.Context, conn *net.UDPConn, handle func([]byte, timekeeper.Instant) reducer.Event) error {
 	buffer := make([]byte, encoder.MaxDatagramBytes)
+	control := make([]byte, controlBytes)
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		n, m, _, _, err := conn.ReadMsgUDPAddrPort(buffer, control)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			return &Error{Op: "read datagram", Kind: KindSocket, Err: err}
 		}
-		event := handle(buffer[:n])
+		event := handle(buffer[:n], c.clock().Add(-waited(control[:m], time.Now())))
 		if event == nil {
 			continue
 		}
@@ -123,27 +130,27 @@
 	}
 }
 
-func (c *Carrier) newPacketReader() func([]byte) reducer.Event {
+func (c *Carrier) newPacketReader() func([]byte, timekeeper.Instant) reducer.Event {
 	reader := translator.New()
-	return func(data []byte) reducer.Event {
+	return func(data []byte, arrived timekeeper.Instant) reducer.Event {
 		delivery, err := encoder.DecodeDelivery(data)
 		if err != nil {
 			c.Counters.Malformed.Add(1)
 			return nil
 		}
-		packet, err := reader.Decode(delivery.Payload, c.clock())
+		packet, err := reader.Decode(delivery.Payload, arrived)
 		if err != nil {
 			c.Counters.Malformed.Add(1)
 			return nil
 		}
 		if delivery.To.Addr().Is4() {
-			return &reducer.CallerPacket{Caller: delivery.From, Service: delivery.To, Packet: packet}
+			return &reducer.CallerPacket{Arrived: arrived, Caller: delivery.From, Service: delivery.To, Packet: packet}
 		}
 		return &reducer.TargetPacket{Target: delivery.From, Return: delivery.To.Addr(), Packet: packet}
 	}
 }
 
-func (c *Carrier) peerMessage(data []byte) reducer.Event {
+func (c *Carrier) peerMessage(data []byte, arrived timekeeper.Instant) reducer.Event {
 	from, body, err := c.sealer.Load().Open(data)
 	if err != nil {
 		c.countOpenError(err)
@@ -154,17 +161,20 @@
 		c.Counters.Unknown.Add(1)
 		return nil
 	}
-	return &reducer.PeerMessage{From: from, Body: forward}
+	return &reducer.PeerMessage{Arrived: arrived, From: from, Body: forward}
 }
 
 func (c *Carrier) countOpenError(err error) {
-	switch e, _ := err.(*encoder.Error); {
-	case e == nil || e.Kind == encoder.KindMalformed || e.Kind == encoder.KindTooLarge:
+	var failure *encoder.Error
+	switch {
+	case !errors.As(err, &failure):
 		c.Counters.Malformed.Add(1)
-	case e.Kind == encoder.KindUnauthentic:
+	case failure.Kind == encoder.KindUnauthentic:
 		c.Counters.Unauthentic.Add(1)
-	case e.Kind == encoder.KindUnknown:
+	case failure.Kind == encoder.KindUnknown:
 		c.Counters.Unknown.Add(1)
+	default:
+		c.Counters.Malformed.Add(1)
 	}
 }
 
--- a/balancer/internal/prober/prober.go
+++ b/balancer/internal/prober/prober.go
@@ -74,8 +74,14 @@
 func (p *Prober) Run(ctx context.Context) <-chan error {
 	ends := make(chan error, 2)
 	context.AfterFunc(ctx, func() { _ = p.conn.Close() })
-	go func() { ends <- p.read(ctx) }()
-	go func() { ends <- p.sweep(ctx) }()
+	go func() {
+		p.read(ctx)
+		ends <- nil
+	}()
+	go func() {
+		p.sweep(ctx)
+		ends <- nil
+	}()
 	return ends
 }
 
@@ -107,13 +113,13 @@
 	return data[:max(n, 0)], err
 }
 
-func (p *Prober) read(ctx context.Context) error {
+func (p *Prober) read(ctx context.Context) {
 	buffer := make([]byte, maxBytes)
 	m := message.Message{Options: make(message.Options, 0, maxOptions)}
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
-			return nil
+			return
 		}
 		if err != nil {
 			continue // An earlier probe came back undeliverable.
@@ -146,13 +152,13 @@
 	p.offer(ctx, &reducer.ProbeAnswered{Target: from, Healthy: healthy, InFlight: report.InFlight})
 }
 
-func (p *Prober) sweep(ctx context.Context) error {
+func (p *Prober) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case now := <-ticker.C:
 			for _, target := range p.overdue(now) {
 				p.offer(ctx, &reducer.ProbeAnswered{Target: target})
--- a/balancer/internal/watcher/watcher.go
+++ b/balancer/internal/watcher/watcher.go
@@ -84,11 +84,14 @@
 // Run watches until the context ends, and reports its end.
 func (w *Watcher) Run(ctx context.Context) <-chan error {
 	end := make(chan error, 1)
-	go func() { end <- w.run(ctx) }()
+	go func() {
+		w.run(ctx)
+		end <- nil
+	}()
 	return end
 }
 
-func (w *Watcher) run(ctx context.Context) error {
+func (w *Watcher) run(ctx context.Context) {
 	enabled := true
 	for ctx.Err() == nil {
 		watch, cancel := context.WithCancel(ctx)
@@ -106,7 +109,6 @@
 		cancel()
 		<-ended
 	}
-	return nil
 }
 
 func (w *Watcher) watch(ctx context.Context) {
--- a/balancer/main.go
+++ b/balancer/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"cranberryspan.dev/balancer/internal/configurer"
 	"cranberryspan.dev/balancer/internal/runner"
@@ -14,7 +15,6 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-	"time"
 )
 
 // The exit codes.
--- a/core/messenger/message.go
+++ b/core/messenger/message.go
@@ -83,6 +83,7 @@
 		return "suspect"
 	case LivenessDead:
 		return "dead"
+	case LivenessUnknown:
 	}
 	return "unknown"
 }
--- a/core/reducer/fuzz_test.go
+++ b/core/reducer/fuzz_test.go
@@ -66,9 +66,6 @@
 	next    int
 	cuts    [][2]string
 	highest map[string]uint64
-	// unplanned counts disturbances after which a flow may be lost.
-	unplanned bool
-	draining  []int
 }
 
 type sentCall struct {
--- a/core/reducer/request.go
+++ b/core/reducer/request.go
@@ -244,7 +244,7 @@
 		r.touch(in, f)
 		return f.other, true
 	}
-	at, _, ok := s.choose(in.hash, f.target, r.now)
+	at, ok := s.choose(in.hash, f.target, r.now)
 	if !ok {
 		return noTarget, false
 	}
@@ -278,7 +278,7 @@
 	var at uint16
 	var ok bool
 	if in.packet.Flags.Has(messenger.FlagOpens) {
-		at, _, ok = in.service.choose(in.hash, noTarget, r.now)
+		at, ok = in.service.choose(in.hash, noTarget, r.now)
 	} else {
 		at, ok = in.service.earlier(in.hash, r.now)
 	}
@@ -348,7 +348,7 @@
 	if q.careful() {
 		e.Deadline = r.now.Add(sendSpan)
 	} else {
-		share := time.Duration(q.deadline.Until(q.since)) / maxAttempts
+		share := q.deadline.Until(q.since) / maxAttempts
 		jitter := time.Duration(r.random.Int64N(int64(share)/4 + 1))
 		q.attemptDeadline = r.now.Add(share + jitter)
 	}
@@ -526,7 +526,7 @@
 	if q.attempts >= maxAttempts || s.retryTokens < 1 {
 		return false
 	}
-	at, _, ok := s.choose(q.hash, q.target, r.now)
+	at, ok := s.choose(q.hash, q.target, r.now)
 	if !ok {
 		return false
 	}
@@ -604,6 +604,7 @@
 		return r.joining.over
 	case RefuseIsolated:
 		return r.isolated()
+	default:
 	}
 	return r.joining.over && r.powerless != timekeeper.Never && r.powerless.Add(holdSpan).Passed(r.now)
 }
--- a/core/reducer/target.go
+++ b/core/reducer/target.go
@@ -177,7 +177,7 @@
 	t.policy = listed.Policy
 	t.present = true
 	t.place = place
-	t.restDeadline = r.restDeadline(listed.Address, s.settings.ID, now)
+	t.restDeadline = r.restDeadline(listed.Address, s.settings.ID)
 }
 
 func (r *Reducer) renewTable(s *service, now timekeeper.Instant) {
@@ -211,7 +211,7 @@
 // that has not heard of it still sends intake's packets there, and a packet
 // that left before the change arrives after it. One notices by requests of one
 // service in another one's log. So the address rests before it is used again.
-func (r *Reducer) restDeadline(address netip.AddrPort, id resolver.ServiceID, now timekeeper.Instant) timekeeper.Instant {
+func (r *Reducer) restDeadline(address netip.AddrPort, id resolver.ServiceID) timekeeper.Instant {
 	use, ok := r.lastUse[address]
 	if ok && use.service != id {
 		return use.deadline
@@ -276,21 +276,20 @@
 	return s.ejected
 }
 
-// choose picks the target of a new flow, and says whether it is the one that
-// every other host would compute. avoid is a target that was tried already, or
-// noTarget.
+// choose picks the target of a new flow. avoid is a target that was tried
+// already, or noTarget.
 //
 // The first candidate of the slot gets the flow unless it is full and the
 // second one has room: two choices even out load, and the condition keeps flows
 // that only their owner can find rare.
-func (s *service) choose(hash uint64, avoid uint16, now timekeeper.Instant) (at uint16, computed, ok bool) {
+func (s *service) choose(hash uint64, avoid uint16, now timekeeper.Instant) (at uint16, ok bool) {
 	if len(s.tables) == 0 {
-		return noTarget, false, false
+		return noTarget, false
 	}
 	ejected := s.eject(now)
 	ranked := s.tables[0].table.At(hash)
 	best := uint16(noTarget)
-	for rank, candidate := range ranked {
+	for _, candidate := range ranked {
 		if candidate < 0 {
 			break
 		}
@@ -301,19 +300,18 @@
 		}
 		if best == noTarget {
 			best = place
-			computed = rank == 0
 			if t.load(now) < t.policy.Slots {
-				return place, computed, true
+				return place, true
 			}
 			continue
 		}
 		if t.load(now) < s.registry[best].load(now) {
-			return place, false, true
+			return place, true
 		}
-		return best, computed, true
+		return best, true
 	}
 	if best != noTarget {
-		return best, computed, true
+		return best, true
 	}
 	return s.chooseAny(hash, avoid, ejected, now)
 }
@@ -333,17 +331,17 @@
 // chooseAny takes the first usable target, walking from a place that depends on
 // the flow; if health excludes all, it takes one of those: a target that may be
 // ill is better than none.
-func (s *service) chooseAny(hash uint64, avoid uint16, ejected []bool, now timekeeper.Instant) (uint16, bool, bool) {
+func (s *service) chooseAny(hash uint64, avoid uint16, ejected []bool, now timekeeper.Instant) (uint16, bool) {
 	n := len(s.registry)
 	for _, mayBeIll := range []bool{false, true} {
 		for i := range n {
 			at := uint16((uint64(i) + hash>>8) % uint64(n))
 			if at != avoid && s.registry[at].usable(now) && (mayBeIll || !ejected[at]) {
-				return at, false, true
+				return at, true
 			}
 		}
 	}
-	return noTarget, false, false
+	return noTarget, false
 }
 
 // earlier returns where a flow that nobody remembers was put before the last
--- a/core/resolver/build.go
+++ b/core/resolver/build.go
@@ -203,8 +203,8 @@
 	return in
 }
 
-// apply sets one inheritable key and reports whether the key is one.
-func (b *builder) apply(e entry, level string, in *inherited) bool {
+// apply sets one inheritable key.
+func (b *builder) apply(e entry, level string, in *inherited) {
 	f, ok := fieldByKey(e.key)
 	if !ok {
 		keys := make([]string, 0, len(policyFields))
@@ -212,14 +212,13 @@
 			keys = append(keys, f.key)
 		}
 		b.unknown(e, keys...)
-		return false
+		return
 	}
 	if e.value.Kind != yaml.ScalarNode || !f.parse(&in.policy, e.value.Value) {
 		b.find(e.value, e.path, fmt.Sprintf("%q does not fit", e.value.Value), f.expected, "write a value in that range")
-		return true
+		return
 	}
 	in.origins[e.key] = origin{level: level, line: e.value.Line}
-	return true
 }
 
 func (b *builder) region(region entry, parent inherited) {
--- a/core/resolver/policy.go
+++ b/core/resolver/policy.go
@@ -43,6 +43,7 @@
 		return "low"
 	case PriorityHigh:
 		return "high"
+	case PriorityNormal:
 	}
 	return "normal"
 }
