--- a/core/driver/driver.go
+++ b/core/driver/driver.go
@@ -87,6 +87,8 @@
 	// Runs counts the executions of each request.
 	Runs     map[RequestID]int
 	InFlight int
+	// Standing is work that the target reports beside what is in flight.
+	Standing int
 }
 
 // RequestID names a request of a caller.
@@ -494,7 +496,7 @@
 	target := f.Target(address)
 	name := h.name
 	f.schedule(2*Latency, func() {
-		f.deliver(name, &reducer.ProbeAnswered{Target: address, Healthy: !target.Down, InFlight: target.InFlight})
+		f.deliver(name, &reducer.ProbeAnswered{Target: address, Healthy: !target.Down, InFlight: target.InFlight + target.Standing})
 	})
 }
 
