Probing: bounded per host, verdicts shared within a zone

Cause: with many hosts a zone only two hosts knew that a target failed, and probes grew with targets times zones without bound. Measured: TestVerdictReachesHostsThatDoNotProbe, bounds on retries (a tenth), ejection (half) and warm-up in health_test.go.

--- a/core/driver/driver.go
+++ b/core/driver/driver.go
@@ -82,6 +82,8 @@
 	Work    time.Duration
 	// Down makes the target silent.
 	Down bool
+	// Lies makes the target's health endpoint fail while requests are answered.
+	Lies bool
 	// Shed makes the target refuse every request without running it.
 	Shed bool
 	// Runs counts the executions of each request.
@@ -496,7 +498,7 @@
 	target := f.Target(address)
 	name := h.name
 	f.schedule(2*Latency, func() {
-		f.deliver(name, &reducer.ProbeAnswered{Target: address, Healthy: !target.Down, InFlight: target.InFlight + target.Standing})
+		f.deliver(name, &reducer.ProbeAnswered{Target: address, Healthy: !target.Down && !target.Lies, InFlight: target.InFlight + target.Standing})
 	})
 }
 
--- a/core/encoder/encoder.go
+++ b/core/encoder/encoder.go
@@ -87,6 +87,7 @@
 	kindFlowRecords
 	kindSettingsRequest
 	kindSettingsDocument
+	kindVerdicts
 )
 
 func kindOf(body messenger.Body) bodyKind {
@@ -115,6 +116,8 @@
 		return kindSettingsRequest
 	case *messenger.SettingsDocument:
 		return kindSettingsDocument
+	case *messenger.Verdicts:
+		return kindVerdicts
 	}
 	return 0
 }
@@ -145,6 +148,8 @@
 		return &messenger.SettingsRequest{}
 	case kindSettingsDocument:
 		return &messenger.SettingsDocument{}
+	case kindVerdicts:
+		return &messenger.Verdicts{}
 	}
 	return nil
 }
--- a/core/encoder/encoder_test.go
+++ b/core/encoder/encoder_test.go
@@ -31,6 +31,7 @@
 		&messenger.Handover{Sequence: 1, Done: true, Requests: []messenger.RequestRecord{{Key: 1, Exchange: exchange, Target: target}}},
 		&messenger.HandoverAck{Sequence: 1, Refused: true},
 		&messenger.SettingsRequest{Above: 1},
+		&messenger.Verdicts{Failing: []uint32{1<<16 | 2}},
 		&messenger.SettingsDocument{Revision: 2, Document: []byte("version: 1")},
 	}
 }
--- a/core/messenger/message.go
+++ b/core/messenger/message.go
@@ -23,6 +23,7 @@
 func (*SettingsRequest) body()  {}
 func (*SettingsDocument) body() {}
 func (*FlowRecords) body()      {}
+func (*Verdicts) body()         {}
 
 // Phase is where a host stands in its life as an owner of flows.
 type Phase uint8
@@ -262,6 +263,13 @@
 	Refused bool `cbor:"refused,omitempty"`
 }
 
+// Verdicts lists the targets (see LoadKey) that fail the sender's probes, all of
+// them. It goes to the hosts of the sender's availability zone when it changes,
+// and regularly while it is not empty.
+type Verdicts struct {
+	Failing []uint32 `cbor:"failing"`
+}
+
 // SettingsRequest asks a peer for the settings it has in force.
 type SettingsRequest struct {
 	Above uint64 `cbor:"above"`
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -85,6 +85,19 @@
 	return order
 }
 
+// Among reports whether a name is one of the first few in a bucket's order. It
+// takes any number of names.
+func (r Ranker) Among(bucket Bucket, name string, few int) bool {
+	own := score(xxhash.Sum64String(name), uint64(bucket))
+	better := 0
+	for i, hash := range r.hashes {
+		if r.names[i] != name && score(hash, uint64(bucket)) > own {
+			better++
+		}
+	}
+	return better < few
+}
+
 // Cells maps every bucket to its home cell, by weighted rendezvous hashing over
 // the cells of the settings. Which host lives plays no part: only published
 // settings decide, so two sides of a partition never both believe that a
--- a/core/reducer/adoption.go
+++ b/core/reducer/adoption.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -148,67 +147,3 @@
 	}
 	return longest
 }
-
-// probersPerZone is how many hosts of an availability zone probe a target; they
-// are ranked by target, so that the work spreads.
-const probersPerZone = 2
-
-// probeTick has this host's share of the targets probed.
-func (r *Reducer) probeTick() {
-	const probeEvery = time.Second
-	if !r.probeDeadline.Passed(r.now) {
-		return
-	}
-	r.probeDeadline = r.now.Add(probeEvery)
-	ranker := placer.NewRanker(r.aliveInZone())
-	for _, id := range r.serviceIDs {
-		for _, t := range r.services[id].registry {
-			if t.present && r.probes(ranker, t) {
-				r.emit(&Probe{Target: t.address})
-			}
-		}
-	}
-}
-
-func (r *Reducer) aliveInZone() []string {
-	self, _ := r.settings.HostNamed(r.self)
-	var names []string
-	for _, h := range r.settings.Hosts {
-		alive := h.Name == r.self || r.detector.State(h.Name).Liveness == messenger.LivenessAlive
-		if h.AvailabilityZone == self.AvailabilityZone && alive {
-			names = append(names, h.Name)
-		}
-	}
-	return names
-}
-
-func (r *Reducer) probes(ranker placer.Ranker, t *target) bool {
-	order := ranker.Rank(placer.BucketOf(placer.Hash(resolver.FlowKey(t.address.Port()) + resolver.FlowKey(t.place)<<16)))
-	names := order.Names()
-	return slices.Contains(names[:min(probersPerZone, len(names))], r.self)
-}
-
-func (r *Reducer) probeAnswered(e *ProbeAnswered) {
-	for _, id := range r.serviceIDs {
-		s := r.services[id]
-		at, ok := s.byAddr[e.Target]
-		if !ok || !s.registry[at].present {
-			continue
-		}
-		t := s.registry[at]
-		if !e.Healthy {
-			t.failedProbes++
-			continue
-		}
-		t.failedProbes = 0
-		if !t.queueStuck() {
-			t.failedRequests = 0
-		}
-		t.reported = e.InFlight
-		t.reportDeadline = r.now.Add(loadSpan)
-	}
-}
-
-// queueStuck reports whether requests wait for the target without any answer,
-// in which case a good probe says little.
-func (t *target) queueStuck() bool { return t.failedRequests > 0 && t.inFlight > 0 }
--- /dev/null
+++ b/core/reducer/health_test.go
@@ -0,0 +1,105 @@
+package reducer_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/driver"
+	"cranberryspan.dev/core/reducer"
+	"github.com/stretchr/testify/require"
+)
+
+func ejectedAt(f *driver.Fleet, host string, service int) int {
+	ejected := 0
+	for _, t := range f.Reducer(host).Snapshot().Services[service-1].Targets {
+		if t.Ejected {
+			ejected++
+		}
+	}
+	return ejected
+}
+
+// Symptom: flows open on a target that is long dead, through some hosts only.
+// Sequence: a target dies; two hosts of each zone probe it.
+// Cause: a verdict that stays with the host that found it.
+func TestVerdictReachesHostsThatDoNotProbe(t *testing.T) {
+	f := newFleet(t, sicily())
+	f.Target(driver.TargetAddress(3)).Down = true
+	f.Step(6 * time.Second)
+	for _, name := range f.Names() {
+		require.Equal(t, 1, ejectedAt(f, name, 1), name)
+	}
+	f.Target(driver.TargetAddress(3)).Down = false
+	f.Step(3 * time.Second)
+	for _, name := range f.Names() {
+		require.Zero(t, ejectedAt(f, name, 1), name)
+	}
+}
+
+// Symptom: a service is refused altogether while its targets work.
+// Sequence: the health endpoints of all targets fail at once.
+// Cause: health that is believed without bound.
+func TestLyingHealthCannotEmptyAService(t *testing.T) {
+	f := newFleet(t, sicily())
+	for _, n := range numbers(1, 14) {
+		f.Target(driver.TargetAddress(n)).Lies = true
+	}
+	f.Step(8 * time.Second)
+	require.LessOrEqual(t, ejectedAt(f, "a1", 1), 7)
+	for n := range 100 {
+		f.Call("", call(n, 1, 1), request(openWrite))
+	}
+	f.Step(2 * time.Second)
+	for n := range 100 {
+		require.True(t, answered(f, call(n, 1, 1)))
+	}
+}
+
+// Symptom: retries bring down a service that is slow.
+// Sequence: every target falls silent under load.
+// Cause: a retry for every request, without a budget.
+func TestRetriesKeepToTheirBudget(t *testing.T) {
+	f := newFleet(t, sicily())
+	for _, n := range numbers(1, 14) {
+		f.Target(driver.TargetAddress(n)).Work = time.Hour
+	}
+	const reads = 400
+	for n := range reads {
+		f.Call("", call(n, 1, 1), request(openRead))
+	}
+	f.Step(3 * time.Second)
+	retries := uint64(0)
+	for _, name := range f.Names() {
+		retries += f.Reducer(name).Count(reducer.CountRetry)
+	}
+	require.Positive(t, retries)
+	require.LessOrEqual(t, retries, uint64(reads/10))
+}
+
+// Symptom: a new target is overrun. Sequence: a target is added under load.
+// Cause: its full share from the first moment, before its caches are warm.
+func TestNewTargetWarmsUp(t *testing.T) {
+	added := sicily()
+	added.Services[0].Targets = numbers(1, 15)
+	f := newFleet(t, sicily())
+	f.Publish(added.Document())
+	f.Step(500 * time.Millisecond)
+	share := func(from int) int {
+		for n := range 600 {
+			f.Call("", call(from+n, 1, 1), request(openRead))
+		}
+		f.Step(200 * time.Millisecond)
+		got := 0
+		for n := range 600 {
+			if targetOf(t, f, call(from+n, 1, 1)) == driver.TargetAddress(15) {
+				got++
+			}
+		}
+		return got
+	}
+	cold := share(10_000)
+	f.Step(12 * time.Second)
+	warm := share(20_000)
+	require.Less(t, cold*3, warm, "%d of 600 while cold, %d when warm", cold, warm)
+	require.Positive(t, cold)
+}
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -87,7 +87,7 @@
 	ended         bool
 	watching      bool
 	askedDeadline timekeeper.Instant
-	probeDeadline timekeeper.Instant
+	prober        prober
 	copyTokens    float64
 	powerless     timekeeper.Instant
 	isolation     isolation
@@ -218,6 +218,8 @@
 		r.witness(e.From, body)
 	case *messenger.WitnessAck:
 		r.witnessAcked(e.From, body.Sequence)
+	case *messenger.Verdicts:
+		r.takeVerdicts(e.From, body.Failing)
 	case *messenger.FlowRecords:
 		r.takeRecords(body.Records, true)
 	case *messenger.Handover:
--- a/core/reducer/target.go
+++ b/core/reducer/target.go
@@ -53,6 +53,9 @@
 	// peers holds what other hosts have in flight at the target.
 	peers map[string]peerLoad
 	queue []*request
+	// accusers are the hosts whose probes fail, with the time until which their
+	// word holds.
+	accusers map[string]timekeeper.Instant
 }
 
 type peerLoad struct {
@@ -66,7 +69,7 @@
 	if !t.answerDeadline.Passed(now) && t.answerDeadline != 0 {
 		return false
 	}
-	return t.failedProbes >= failedProbesToEject || t.doubted()
+	return t.failedProbes >= failedProbesToEject || t.accused(now) || t.doubted()
 }
 
 // doubted reports whether requests themselves speak against the target.
@@ -164,7 +167,7 @@
 	at, ok := s.byAddr[listed.Address]
 	if !ok {
 		at = uint16(len(s.registry))
-		t := &target{address: listed.Address, peers: map[string]peerLoad{}}
+		t := &target{address: listed.Address, peers: map[string]peerLoad{}, accusers: map[string]timekeeper.Instant{}}
 		if !firstRevision {
 			t.warmSpan = listed.Policy.WarmUp
 			t.warmDeadline = now.Add(t.warmSpan)
