--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -450,7 +450,7 @@
 	}
 	if news.Incarnation > m.incarnation {
 		m.renew(news.Incarnation, now)
-		m.enter(news.Phase)
+		m.enter(news.Phase, now)
 		m.liveness = messenger.LivenessAlive
 		m.silentSince = now
 		d.spread(m.host.Name)
@@ -458,7 +458,7 @@
 	// Within one incarnation a host only moves forward; an older message that
 	// comes late must not bring an earlier phase back.
 	if news.Phase > m.phase {
-		m.enter(news.Phase)
+		m.enter(news.Phase, now)
 		d.spread(m.host.Name)
 	}
 	m.revision = max(m.revision, news.Revision)
@@ -500,7 +500,7 @@
 	}
 	if r.Incarnation > m.incarnation {
 		m.renew(r.Incarnation, now)
-		m.enter(r.Phase)
+		m.enter(r.Phase, now)
 		m.liveness = messenger.LivenessSuspect
 		m.silentSince = now
 	}
@@ -509,7 +509,7 @@
 		d.adoptDeath(m, now)
 	}
 	if r.Phase > m.phase {
-		m.enter(r.Phase)
+		m.enter(r.Phase, now)
 	}
 }
 
@@ -571,7 +571,7 @@
 	}
 	if r.Incarnation > m.incarnation {
 		m.renew(r.Incarnation, now)
-		m.enter(r.Phase)
+		m.enter(r.Phase, now)
 	}
 	m.refutations = r.Refutations
 	if newer || r.Liveness > m.liveness {
@@ -580,7 +580,7 @@
 		m.silentSince = now
 	}
 	if r.Phase > m.phase {
-		m.enter(r.Phase)
+		m.enter(r.Phase, now)
 	}
 	d.spread(r.Host)
 }
--- a/core/detector/member.go
+++ b/core/detector/member.go
@@ -38,6 +38,8 @@
 	deniedBy map[string]bool
 	// left says that the host left by plan and has not come back.
 	left bool
+	// leftAt is when this host heard of that.
+	leftAt timekeeper.Instant
 	// pingDeadline is when a ping outside the cell counts as unanswered.
 	pingDeadline timekeeper.Instant
 }
@@ -66,10 +68,13 @@
 }
 
 // enter moves the host to a phase of its present incarnation.
-func (m *member) enter(phase messenger.Phase) {
+func (m *member) enter(phase messenger.Phase, now timekeeper.Instant) {
 	m.phase = phase
 	switch phase {
 	case messenger.PhaseLeft:
+		if !m.left {
+			m.leftAt = now
+		}
 		m.left = true
 	case messenger.PhaseReady, messenger.PhaseLeaving:
 		m.left = false
--- a/core/detector/quorum.go
+++ b/core/detector/quorum.go
@@ -198,6 +198,8 @@
 	// LostAt is when the host last lost its memory, as far as is known: when it
 	// was given up, or came back without having left. Zero is never.
 	LostAt timekeeper.Instant
+	// LeftAt is when this host heard that the host had left.
+	LeftAt timekeeper.Instant
 }
 
 // State returns what is believed of a host, this one included.
@@ -209,7 +211,7 @@
 	if !ok {
 		return State{Host: name}
 	}
-	return State{Host: name, Liveness: m.liveness, Phase: m.phase, Incarnation: m.incarnation, Revision: m.revision, Acted: m.acted, LostAt: m.lostAt}
+	return State{Host: name, Liveness: m.liveness, Phase: m.phase, Incarnation: m.incarnation, Revision: m.revision, Acted: m.acted, LostAt: m.lostAt, LeftAt: m.leftAt}
 }
 
 // Others returns the names of all other hosts, sorted.
--- a/core/driver/driver.go
+++ b/core/driver/driver.go
@@ -58,6 +58,9 @@
 	// Bytes counts control bytes by sending host; Forwards counts packets.
 	Bytes    map[string]int
 	Forwards int
+	// Messages counts control messages, Probes probes of targets.
+	Messages int
+	Probes   int
 	// Measure makes the fleet encode control messages to count their bytes.
 	Measure bool
 	sealers map[string]*encoder.Sealer
@@ -254,6 +257,11 @@
 // with an empty name, through a random running one. It reports whether there
 // was a host to send through.
 func (f *Fleet) Call(host string, id RequestID, packet messenger.Packet) bool {
+	return f.CallAfter(0, host, id, packet)
+}
+
+// CallAfter is Call, a while later.
+func (f *Fleet) CallAfter(d time.Duration, host string, id RequestID, packet messenger.Packet) bool {
 	if host == "" {
 		host = f.randomHost()
 	}
@@ -265,7 +273,7 @@
 		f.careful[id] = true
 	}
 	packet.Payload = f.note(id, packet)
-	f.after(Latency, host, &reducer.CallerPacket{Caller: id.Caller, Service: id.Service, Packet: packet})
+	f.after(d+Latency, host, &reducer.CallerPacket{Caller: id.Caller, Service: id.Service, Packet: packet})
 	return true
 }
 
@@ -463,8 +471,11 @@
 	from := h.name
 	if _, ok := e.Body.(*messenger.Forward); ok {
 		f.Forwards++
-	} else if f.Measure {
-		f.count(from, e)
+	} else {
+		f.Messages++
+		if f.Measure {
+			f.count(from, e)
+		}
 	}
 	if f.cut[[2]string{from, e.Host}] {
 		return
@@ -497,6 +508,7 @@
 func (f *Fleet) probe(h *host, address netip.AddrPort) {
 	target := f.Target(address)
 	name := h.name
+	f.Probes++
 	f.schedule(2*Latency, func() {
 		f.deliver(name, &reducer.ProbeAnswered{Target: address, Healthy: !target.Down && !target.Lies, InFlight: target.InFlight + target.Standing})
 	})
--- a/core/encoder/encoder_test.go
+++ b/core/encoder/encoder_test.go
@@ -32,7 +32,7 @@
 		&messenger.HandoverAck{Sequence: 1, Refused: true},
 		&messenger.SettingsRequest{Above: 1},
 		&messenger.Verdicts{Failing: []uint32{1<<16 | 2}},
-		&messenger.SettingsDocument{Revision: 2, Document: []byte("version: 1")},
+		&messenger.SettingsDocument{Revision: 2, Compressed: []byte("gzip")},
 	}
 }
 
--- a/core/messenger/message.go
+++ b/core/messenger/message.go
@@ -275,8 +275,9 @@
 	Above uint64 `cbor:"above"`
 }
 
-// SettingsDocument carries a revision of the settings tree, as published.
+// SettingsDocument carries a revision of the settings tree, as published,
+// compressed with gzip (RFC 1952).
 type SettingsDocument struct {
-	Revision uint64 `cbor:"rev"`
-	Document []byte `cbor:"doc"`
+	Revision   uint64 `cbor:"rev"`
+	Compressed []byte `cbor:"gz"`
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -138,11 +138,6 @@
 	return c
 }
 
-// Same reports whether two maps are equal.
-func (c Cells) Same(other Cells) bool {
-	return slices.Equal(c.names, other.names) && slices.Equal(c.home, other.home)
-}
-
 // Home returns the home cell of a bucket; empty if there are no cells.
 func (c Cells) Home(bucket Bucket) string {
 	if len(c.names) == 0 {
--- a/core/reducer/adoption.go
+++ b/core/reducer/adoption.go
@@ -1,6 +1,10 @@
 package reducer
 
 import (
+	"bytes"
+	"compress/gzip"
+	"io"
+	"maps"
 	"strconv"
 	"time"
 
@@ -60,10 +64,15 @@
 	for cell, names := range members {
 		r.rankers[cell] = placer.NewRanker(names)
 	}
-	cells := placer.NewCells(settings.Hosts)
-	if cells.Same(r.cells) {
+	sizes := make(map[string]int, len(members))
+	for cell, names := range members {
+		sizes[cell] = len(names)
+	}
+	if maps.Equal(sizes, r.cellSizes) {
 		return
 	}
+	r.cellSizes = sizes
+	cells := placer.NewCells(settings.Hosts)
 	if len(r.services) > 0 {
 		r.earlierCells = r.cells
 		r.movedDeadline = r.now.Add(r.repeatWindow())
@@ -107,7 +116,42 @@
 	if r.settings == nil || r.Revision() <= above {
 		return
 	}
-	r.sendPeer(to, &messenger.SettingsDocument{Revision: r.Revision(), Document: r.document})
+	r.sendPeer(to, &messenger.SettingsDocument{Revision: r.Revision(), Compressed: r.compressed()})
+}
+
+// compressed returns the document in force, compressed once for all peers: at
+// the two-year size it has most of a megabyte, and every change goes to every
+// host.
+func (r *Reducer) compressed() []byte {
+	if r.compressedRevision == r.Revision() {
+		return r.compressedDocument
+	}
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	// Writing to a buffer can't fail.
+	_, _ = w.Write(r.document)
+	_ = w.Close()
+	r.compressedDocument, r.compressedRevision = b.Bytes(), r.Revision()
+	return r.compressedDocument
+}
+
+// takeSettings takes a peer's settings. A document that unpacks to more than
+// the platform holds is cut, and refused as too large.
+func (r *Reducer) takeSettings(body *messenger.SettingsDocument) {
+	if body.Revision <= r.Revision() {
+		return
+	}
+	reader, err := gzip.NewReader(bytes.NewReader(body.Compressed))
+	if err != nil {
+		r.emit(&Rejected{Revision: body.Revision, Err: err})
+		return
+	}
+	document, err := io.ReadAll(io.LimitReader(reader, resolver.MaxDocumentBytes+1))
+	if err != nil {
+		r.emit(&Rejected{Revision: body.Revision, Err: err})
+		return
+	}
+	r.settingsPublished(body.Revision, document)
 }
 
 // watchersPerZone is how many hosts of an availability zone watch the platform;
--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -34,6 +34,7 @@
 	expected map[string]bool
 	// over says that the host is ready; actDeadline is when it may act.
 	over        bool
+	readyAt     timekeeper.Instant
 	actDeadline timekeeper.Instant
 	// uncertainDeadline is until when requests from before the start may be
 	// repeated whose identities nobody could hand over.
@@ -127,6 +128,7 @@
 
 func (r *Reducer) becomeReady() {
 	r.joining.over = true
+	r.joining.readyAt = r.now
 	r.joining.actDeadline = r.now.Add(r.detector.LeaseSpan())
 	r.detector.SetPhase(messenger.PhaseReady)
 	r.log("hostReady")
--- a/core/reducer/once_test.go
+++ b/core/reducer/once_test.go
@@ -228,3 +228,29 @@
 		})
 	}
 }
+
+// Symptom: a commitment is booked twice after a host was stopped by plan.
+// Sequence: the link between two hosts of a cell breaks, and one of them leaves;
+// it believes the other dead and gives its records to the third; the second
+// hears from the third that the first has left, and takes its flows over; found
+// by the fuzz.
+// Cause: a host that left is not the same as a host that handed over to us.
+func TestLeaverGaveItsRecordsToAnotherHost(t *testing.T) {
+	f := newFleet(t, sicily())
+	const flows = 150
+	for n := range flows {
+		f.Call("", call(n, 1, 1), request(openWrite))
+	}
+	f.Step(50 * time.Millisecond)
+	f.Cut("a1", "a3")
+	f.Step(3500 * time.Millisecond)
+	f.Shutdown("a1")
+	for range 15 {
+		f.Step(200 * time.Millisecond)
+		for n := range flows {
+			f.Call("", call(n, 1, 1), request(openWrite))
+		}
+	}
+	require.True(t, f.Ended("a1"))
+	requireAtMostOnce(t, f)
+}
--- a/core/reducer/permission.go
+++ b/core/reducer/permission.go
@@ -49,6 +49,8 @@
 		}
 		state := r.detector.State(name)
 		switch {
+		case r.leftElsewhere(state, s.settings.Policy.RepeatWindow):
+			return permissionUncertain
 		case r.hasLeft(state):
 			continue
 		case state.Liveness == messenger.LivenessDead && r.detector.Denied(name):
@@ -68,8 +70,17 @@
 	return permissionGranted
 }
 
+// leftElsewhere reports whether a host left lately, while this host was ready,
+// and gave its records to others only, since it believed this host to be dead.
+func (r *Reducer) leftElsewhere(state detector.State, window time.Duration) bool {
+	return state.Phase == messenger.PhaseLeft &&
+		r.leavingFrom[state.Host] != state.Incarnation &&
+		state.LeftAt > r.joining.readyAt &&
+		!state.LeftAt.Add(window).Passed(r.now)
+}
+
 func (r *Reducer) lostLately(state detector.State, window time.Duration) bool {
-	return state.LostAt != 0 && !state.LostAt.Add(window).Passed(r.now)
+	return r.leftElsewhere(state, window) || (state.LostAt != 0 && !state.LostAt.Add(window).Passed(r.now))
 }
 
 func isJoining(state detector.State) bool {
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -47,10 +47,14 @@
 
 	settings *resolver.Settings
 	document []byte
-	rejected uint64
-	ownCell  string
-	cells    placer.Cells
-	rankers  map[string]placer.Ranker
+	// compressedDocument is the document of compressedRevision, as peers get it.
+	compressedDocument []byte
+	compressedRevision uint64
+	rejected           uint64
+	ownCell            string
+	cells              placer.Cells
+	cellSizes          map[string]int
+	rankers            map[string]placer.Ranker
 	// movedDeadline is until when requests from before a change of home cells
 	// may be repeated; earlierCells tells which buckets moved.
 	movedDeadline timekeeper.Instant
@@ -229,7 +233,7 @@
 	case *messenger.SettingsRequest:
 		r.sendSettings(e.From, body.Above)
 	case *messenger.SettingsDocument:
-		r.settingsPublished(body.Revision, body.Document)
+		r.takeSettings(body)
 	}
 	if r.detector.Rejoined() {
 		r.rejoin()
