--- a/standin/main.go
+++ b/standin/main.go
@@ -9,14 +9,18 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"cranberryspan.dev/core/comparer"
 	"cranberryspan.dev/core/resolver"
 	"cranberryspan.dev/standin/internal/loader"
+	"cranberryspan.dev/standin/internal/measurer"
+	"cranberryspan.dev/standin/internal/plotter"
 	"cranberryspan.dev/standin/internal/publisher"
 	"cranberryspan.dev/standin/internal/responder"
 	"cranberryspan.dev/standin/internal/sprayer"
@@ -51,6 +55,10 @@
 				&cli.DurationFlag{Name: "work", Value: 10 * time.Millisecond},
 				&cli.DurationFlag{Name: "notifyEvery", Value: 200 * time.Millisecond},
 			}},
+			{Name: "capacity", Usage: "measure how costs grow, and write figures and plots", Action: capacity, Flags: []cli.Flag{
+				&cli.StringFlag{Name: "out", Value: "docs", Usage: "folder for FIGURES.md and plots"},
+			}},
+			{Name: "compare", Usage: "hold the system against simpler placements", Action: compare},
 			{Name: "caller", Usage: "load the services", Action: caller, Flags: []cli.Flag{
 				settings,
 				&cli.StringSliceFlag{Name: "work", Usage: "KIND:SERVICE:FLOWS, with streams, uploads, checks or presses"},
@@ -129,6 +137,48 @@
 	return <-r.Run(ctx)
 }
 
+func capacity(_ context.Context, command *cli.Command) error {
+	out := command.String("out")
+	if err := os.MkdirAll(filepath.Join(out, "plots"), 0o755); err != nil {
+		return err
+	}
+	measures := measurer.All(func(line string) { fmt.Fprintln(os.Stderr, line) })
+	for name, chart := range measures.Charts() {
+		if err := plotter.Draw(chart, filepath.Join(out, "plots", name)); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(filepath.Join(out, "FIGURES.md"), []byte(measures.Page()), 0o644)
+}
+
+// compare prints broken flows in 10,000 for each story and placement.
+func compare(context.Context, *cli.Command) error {
+	fmt.Print("| story | planned |")
+	for _, p := range comparer.Policies() {
+		fmt.Printf(" %s |", comparer.Name(p))
+	}
+	fmt.Println(" control bytes a second |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- |")
+	for _, s := range comparer.Scenarios() {
+		fmt.Printf("| %s | %v |", s.Name, s.Planned)
+		bytes := 0.0
+		for _, p := range comparer.Policies() {
+			result := comparer.Run(p, s, 1)
+			fmt.Printf(" %.0f |", result.BrokenPer10000())
+			bytes = result.ControlBytes
+		}
+		fmt.Printf(" %.0f |\n", bytes)
+	}
+	for _, skewed := range []bool{false, true} {
+		fmt.Printf("| variation of work, skewed %v | |", skewed)
+		for _, p := range comparer.Policies() {
+			fmt.Printf(" %.3f |", comparer.MeasureBalance(p, skewed, 1).WorkVariation)
+		}
+		fmt.Println(" |")
+	}
+	return nil
+}
+
 func caller(ctx context.Context, command *cli.Command) error {
 	settings, _, err := readSettings(command)
 	if err != nil {
