--- a/balancer/internal/runner/runner.go
+++ b/balancer/internal/runner/runner.go
@@ -172,7 +172,7 @@
 			event = &reducer.Tick{}
 		case event = <-r.events:
 		}
-		r.stamp(event)
+		reducer.Stamp(event, r.now())
 		if r.carryOut(ctx, r.reducer.Reduce(event)) {
 			return nil
 		}
@@ -194,31 +194,6 @@
 	r.carrier.Announce(r.config.Name, accepting)
 }
 
-// stamp gives an event the time at which it is handled. An event that waited in
-// a queue while the process was paused must not look as old as it is: leases
-// are judged by it.
-func (r *Runner) stamp(event reducer.Event) {
-	now := r.now()
-	switch e := event.(type) {
-	case *reducer.CallerPacket:
-		e.At = now
-	case *reducer.TargetPacket:
-		e.At = now
-	case *reducer.PeerMessage:
-		e.At = now
-	case *reducer.SettingsPublished:
-		e.At = now
-	case *reducer.HostsPublished:
-		e.At = now
-	case *reducer.ProbeAnswered:
-		e.At = now
-	case *reducer.Tick:
-		e.At = now
-	case *reducer.Shutdown:
-		e.At = now
-	}
-}
-
 // carryOut executes effects and reports whether the host has left.
 func (r *Runner) carryOut(ctx context.Context, effects []reducer.Effect) bool {
 	for _, effect := range effects {
--- /dev/null
+++ b/core/detector/rumors.go
@@ -0,0 +1,195 @@
+package detector
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/timekeeper"
+	"github.com/cespare/xxhash/v2"
+)
+
+// spreading is a rumor and how often it is still to be told.
+type spreading struct {
+	host string
+	left int
+}
+
+// relay remembers who asked for a ping of subject.
+type relay struct {
+	asker, subject string
+	deadline       timekeeper.Instant
+}
+
+// askOthers has two other hosts ping a silent one, so that one broken link
+// does not make a host look dead.
+func (d *Detector) askOthers(subject string, _ timekeeper.Instant) {
+	const helpers = 2
+	var alive []string
+	for _, name := range d.names {
+		if name != subject && d.members[name].liveness == messenger.LivenessAlive {
+			alive = append(alive, name)
+		}
+	}
+	d.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	for i := 0; i < helpers && i < len(alive); i++ {
+		d.send(alive[i], &messenger.PingRequest{Subject: subject, News: d.news(alive[i])})
+	}
+}
+
+// vouch tells hosts that asked about m that it has answered.
+func (d *Detector) vouch(m *member, now timekeeper.Instant) {
+	kept := d.relays[:0]
+	for _, r := range d.relays {
+		switch {
+		case r.subject == m.host.Name:
+			rumor := m.rumor()
+			rumor.Liveness = messenger.LivenessAlive
+			d.send(r.asker, &messenger.Vouch{Subject: rumor, News: d.news(r.asker)})
+		case !r.deadline.Passed(now):
+			kept = append(kept, r)
+		}
+	}
+	d.relays = kept
+}
+
+// refute contradicts a rumor that this host is suspect or dead.
+func (d *Detector) refute(r messenger.Rumor) {
+	if r.Incarnation != d.incarnation || r.Refutations < d.refutations {
+		return
+	}
+	d.refutations = r.Refutations + 1
+	d.spread(d.self)
+}
+
+// believe takes in a rumor. Rumors decide nothing about hosts of the own cell,
+// which this host watches itself.
+func (d *Detector) believe(r messenger.Rumor, now timekeeper.Instant) {
+	if r.Host == d.self {
+		if r.Liveness >= messenger.LivenessSuspect {
+			d.refute(r)
+		}
+		return
+	}
+	m, ok := d.members[r.Host]
+	if !ok || m.inCell || r.Incarnation < m.incarnation || (r.Incarnation == m.incarnation && r.Refutations < m.refutations) {
+		return
+	}
+	newer := m.newer(r)
+	if !newer && r.Liveness <= m.liveness && r.Phase <= m.phase {
+		return
+	}
+	if r.Incarnation > m.incarnation {
+		m.renew(r.Incarnation, now)
+		m.enter(r.Phase, now)
+	}
+	m.refutations = r.Refutations
+	if newer || r.Liveness > m.liveness {
+		m.liveness = r.Liveness
+		m.suspectDeadline = now.Add(d.timing.DeadAfter)
+		m.silentSince = now
+	}
+	if r.Phase > m.phase {
+		m.enter(r.Phase, now)
+	}
+	d.spread(r.Host)
+}
+
+// spread queues a host's state for the next messages, often enough to reach
+// the whole fleet with high probability.
+func (d *Detector) spread(host string) {
+	times := 4
+	for n := len(d.members); n > 0; n /= 2 {
+		times += 2
+	}
+	for i := range d.rumors {
+		if d.rumors[i].host == host {
+			d.rumors[i].left = times
+			return
+		}
+	}
+	d.rumors = append(d.rumors, spreading{host: host, left: times})
+}
+
+// news writes what rides on a heartbeat to a peer.
+func (d *Detector) news(peer string) messenger.News {
+	news := messenger.News{}
+	if d.decorate != nil {
+		news = d.decorate(peer)
+	}
+	news.Incarnation = d.incarnation
+	news.Refutations = d.refutations
+	news.Phase = d.phase
+	news.Revision = d.revision
+	news.Acted = d.acted
+	m, ok := d.members[peer]
+	if ok && m.inCell && m.toldView != d.viewVersion() {
+		news.Cell = d.cellView()
+	}
+	news.Rumors = d.nextRumors()
+	if ok && !m.inCell && m.liveness >= messenger.LivenessSuspect {
+		// A host that is wrongly given up must hear of it to refute it.
+		news.Rumors = append(news.Rumors, m.rumor())
+	}
+	return news
+}
+
+// viewVersion identifies the state of the cell as this host sees it. A peer that
+// has acknowledged a version is not sent it again: in a quiet cell of eight, the
+// view would be most of a heartbeat. A vote always travels with a view that its
+// receiver has or gets.
+func (d *Detector) viewVersion() uint64 {
+	hash := xxhash.New()
+	for _, name := range d.names {
+		if m := d.members[name]; m.inCell {
+			// Writing to a hash can't fail.
+			_, _ = fmt.Fprintln(hash, name, m.incarnation, m.liveness, m.phase)
+		}
+	}
+	return hash.Sum64() | 1
+}
+
+func (d *Detector) cellView() []messenger.Rumor {
+	var view []messenger.Rumor
+	for _, name := range d.names {
+		if m := d.members[name]; m.inCell && m.incarnation != 0 {
+			view = append(view, m.rumor())
+		}
+	}
+	return view
+}
+
+// nextRumors picks the rumors that were told least, and counts them as told.
+func (d *Detector) nextRumors() []messenger.Rumor {
+	const most = 6
+	slices.SortStableFunc(d.rumors, func(a, b spreading) int {
+		if a.left != b.left {
+			return b.left - a.left
+		}
+		return strings.Compare(a.host, b.host)
+	})
+	var rumors []messenger.Rumor
+	for i := range d.rumors {
+		if len(rumors) == most {
+			break
+		}
+		d.rumors[i].left--
+		if r, ok := d.rumorOf(d.rumors[i].host); ok {
+			rumors = append(rumors, r)
+		}
+	}
+	d.rumors = slices.DeleteFunc(d.rumors, func(s spreading) bool { return s.left <= 0 })
+	return rumors
+}
+
+func (d *Detector) rumorOf(host string) (messenger.Rumor, bool) {
+	if host == d.self {
+		return messenger.Rumor{Host: d.self, Incarnation: d.incarnation, Refutations: d.refutations, Liveness: messenger.LivenessAlive, Phase: d.phase}, true
+	}
+	m, ok := d.members[host]
+	if !ok {
+		return messenger.Rumor{}, false
+	}
+	return m.rumor(), true
+}
--- a/core/driver/driver.go
+++ b/core/driver/driver.go
@@ -7,7 +7,6 @@
 package driver
 
 import (
-	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"fmt"
@@ -79,23 +78,6 @@
 	backlog  []reducer.Event
 }
 
-// Target is a target that answers every request after Work.
-type Target struct {
-	Address netip.AddrPort
-	Work    time.Duration
-	// Down makes the target silent.
-	Down bool
-	// Lies makes the target's health endpoint fail while requests are answered.
-	Lies bool
-	// Shed makes the target refuse every request without running it.
-	Shed bool
-	// Runs counts the executions of each request.
-	Runs     map[RequestID]int
-	InFlight int
-	// Standing is work that the target reports beside what is in flight.
-	Standing int
-}
-
 // RequestID names a request of a caller.
 type RequestID struct {
 	Caller   netip.AddrPort
@@ -240,19 +222,6 @@
 // Names returns the hosts that were ever started, sorted.
 func (f *Fleet) Names() []string { return f.names }
 
-// Target returns the target at an address, made on first use.
-func (f *Fleet) Target(address netip.AddrPort) *Target {
-	t, ok := f.targets[address]
-	if !ok {
-		t = &Target{Address: address, Work: 5 * time.Millisecond, Runs: map[RequestID]int{}}
-		f.targets[address] = t
-	}
-	return t
-}
-
-// Targets returns every target that was ever used, by address.
-func (f *Fleet) Targets() map[netip.AddrPort]*Target { return f.targets }
-
 // Call sends a packet from a caller to a service, through the named host or,
 // with an empty name, through a random running one. It reports whether there
 // was a host to send through.
@@ -376,24 +345,7 @@
 }
 
 func (f *Fleet) reduce(h *host, event reducer.Event) {
-	switch e := event.(type) {
-	case *reducer.CallerPacket:
-		e.At = f.Now
-	case *reducer.TargetPacket:
-		e.At = f.Now
-	case *reducer.PeerMessage:
-		e.At = f.Now
-	case *reducer.SettingsPublished:
-		e.At = f.Now
-	case *reducer.HostsPublished:
-		e.At = f.Now
-	case *reducer.ProbeAnswered:
-		e.At = f.Now
-	case *reducer.Tick:
-		e.At = f.Now
-	case *reducer.Shutdown:
-		e.At = f.Now
-	}
+	reducer.Stamp(event, f.Now)
 	for _, effect := range h.reducer.Reduce(event) {
 		f.carryOut(h, effect)
 	}
@@ -421,47 +373,6 @@
 	}
 }
 
-func (f *Fleet) toTarget(h *host, e reducer.ToTarget) {
-	name, target := h.name, f.Target(e.Target)
-	f.schedule(Latency, func() {
-		note := f.packets[binary.BigEndian.Uint64(e.Payload)]
-		f.Sent = append(f.Sent, TargetPacket{At: f.Now, Host: name, Target: e.Target, ID: note.id, Packet: note.packet})
-		if target.Down || note.packet.Kind != messenger.KindRequest {
-			return
-		}
-		f.run(target, e.Return, note)
-	})
-}
-
-// run executes a request at a target and sends its answer.
-func (f *Fleet) run(target *Target, back netip.Addr, note packetNote) {
-	flags := messenger.FlagPiggybacked | note.packet.Flags&messenger.FlagStream
-	work := target.Work
-	if target.Shed {
-		flags |= messenger.FlagRefused
-		work = 0
-	} else {
-		target.Runs[note.id]++
-		target.InFlight++
-	}
-	f.schedule(work, func() {
-		if flags&messenger.FlagRefused == 0 {
-			target.InFlight--
-		}
-		f.AnswerFrom(target.Address, back, note.id, flags)
-	})
-}
-
-// AnswerFrom sends an answer from a target to a return address, through a
-// random host.
-func (f *Fleet) AnswerFrom(target netip.AddrPort, back netip.Addr, id RequestID, flags messenger.Flags) {
-	packet := messenger.Packet{Kind: messenger.KindAnswer, Flags: flags, Exchange: id.Exchange}
-	packet.Payload = f.note(id, packet)
-	if host := f.randomHost(); host != "" {
-		f.after(Latency, host, &reducer.TargetPacket{Target: target, Return: back, Packet: packet})
-	}
-}
-
 func (f *Fleet) toCaller(e reducer.ToCaller) {
 	note := f.packets[binary.BigEndian.Uint64(e.Payload)]
 	f.Answers = append(f.Answers, CallerAnswer{At: f.Now, Caller: e.Caller, ID: note.id})
@@ -505,59 +416,6 @@
 	return body
 }
 
-func (f *Fleet) probe(h *host, address netip.AddrPort) {
-	target := f.Target(address)
-	name := h.name
-	f.Probes++
-	f.schedule(2*Latency, func() {
-		f.deliver(name, &reducer.ProbeAnswered{Target: address, Healthy: !target.Down && !target.Lies, InFlight: target.InFlight + target.Standing})
-	})
-}
-
-// scheduled is something that happens at a time. Events of the same time happen
-// in the order in which they were scheduled.
-type scheduled struct {
-	at    timekeeper.Instant
-	order uint64
-	host  string
-	event reducer.Event
-	do    func()
-}
-
-func (f *Fleet) after(d time.Duration, host string, event reducer.Event) {
-	f.order++
-	heap.Push(&f.queue, &scheduled{at: f.Now.Add(d), order: f.order, host: host, event: event})
-}
-
-func (f *Fleet) schedule(d time.Duration, do func()) {
-	f.order++
-	heap.Push(&f.queue, &scheduled{at: f.Now.Add(d), order: f.order, do: do})
-}
-
-// eventQueue is a heap of scheduled events.
-type eventQueue []*scheduled
-
-func (q eventQueue) Len() int { return len(q) }
-
-func (q eventQueue) Less(i, j int) bool {
-	if byTime := cmp.Compare(q[i].at, q[j].at); byTime != 0 {
-		return byTime < 0
-	}
-	return q[i].order < q[j].order
-}
-
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push is for package heap.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(*scheduled)) }
-
-// Pop is for package heap.
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // Runs sums the executions of a request over all targets.
 func (f *Fleet) Runs(id RequestID) int {
 	runs := 0
@@ -584,90 +442,3 @@
 
 // IsCareful reports whether a request was one that must not run twice.
 func (f *Fleet) IsCareful(id RequestID) bool { return f.careful[id] }
-
-// Tree builds a settings tree of one region for experiments.
-type Tree struct {
-	// Zones lists how many hosts each availability zone has; hosts are named
-	// "a1", "a2", "b1" and so on.
-	Zones []int
-	// Cells is how many cells each zone has.
-	Cells int
-	// Services are named s1, s2 and so on, with IDs from 1.
-	Services []TreeService
-	// RepeatWindow and the like go into the defaults, as "key: value" lines.
-	Defaults []string
-}
-
-// TreeService is one service of a Tree.
-type TreeService struct {
-	// Targets are the numbers of the service's targets; see TargetAddress.
-	Targets []int
-	// Draining are the numbers of targets in the state draining.
-	Draining []int
-	// Address is the number of the service's address; see ServiceAddress.
-	Address int
-}
-
-// ServiceAddress returns the address of the service with a number.
-func ServiceAddress(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 5683)
-}
-
-// TargetAddress returns the address of the target with a number.
-func TargetAddress(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(n >> 8), byte(n)}), 5683)
-}
-
-// HostName returns the name of a host of a Tree.
-func HostName(zone, n int) string { return fmt.Sprintf("%c%d", 'a'+zone, n+1) }
-
-// HostNames returns all names of hosts of the tree.
-func (t Tree) HostNames() []string {
-	var names []string
-	for zone, hosts := range t.Zones {
-		for n := range hosts {
-			names = append(names, HostName(zone, n))
-		}
-	}
-	return names
-}
-
-// Document writes the tree as YAML.
-func (t Tree) Document() []byte {
-	var b []byte
-	line := func(format string, args ...any) { b = fmt.Appendf(b, format+"\n", args...) }
-	line("version: 1")
-	line("defaults:")
-	line("  requestDeadline: 2s")
-	for _, d := range t.Defaults {
-		line("  %s", d)
-	}
-	line("regions:\n  r:\n    returnPrefix: fd00:1::/64\n    availabilityZones:")
-	for zone, hosts := range t.Zones {
-		line("      %c:\n        cells: %d\n        hosts:", 'a'+zone, max(t.Cells, 1))
-		for n := range hosts {
-			line("          %s: {address: 10.0.%d.%d:7000, fabricAddress: 10.0.%d.%d:7001, cell: %d}", HostName(zone, n), zone, n+1, zone, n+1, n%max(t.Cells, 1))
-		}
-	}
-	line("    services:")
-	for i, s := range t.Services {
-		line("      s%d:\n        id: %d\n        tenant: t\n        address: %s\n        targets:", i+1, i+1, ServiceAddress(s.Address))
-		for _, n := range s.Targets {
-			state := "active"
-			if slices.Contains(s.Draining, n) {
-				state = "draining"
-			}
-			line("          t%d: {availabilityZone: %c, address: %s, state: %s}", n, 'a'+n%len(t.Zones), TargetAddress(n), state)
-		}
-	}
-	return b
-}
-
-// MustResolve resolves a document that is known to be valid.
-func MustResolve(document []byte) *resolver.Settings {
-	settings, err := resolver.Resolve("tree", document)
-	if err != nil {
-		panic(err)
-	}
-	return settings
-}
--- a/core/reducer/event.go
+++ b/core/reducer/event.go
@@ -80,3 +80,26 @@
 type Shutdown struct {
 	At timekeeper.Instant
 }
+
+// Stamp sets the time at which an event is handled. An event that waited while
+// its host was paused must not look as old as it is: leases are judged by it.
+func Stamp(event Event, now timekeeper.Instant) {
+	switch e := event.(type) {
+	case *CallerPacket:
+		e.At = now
+	case *TargetPacket:
+		e.At = now
+	case *PeerMessage:
+		e.At = now
+	case *SettingsPublished:
+		e.At = now
+	case *HostsPublished:
+		e.At = now
+	case *ProbeAnswered:
+		e.At = now
+	case *Tick:
+		e.At = now
+	case *Shutdown:
+		e.At = now
+	}
+}
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -3,11 +3,13 @@
 // what has to be done as data. It knows no clock, socket or goroutine, so a
 // test or a foreign harness drives any number of reducers in one process.
 //
-// The state falls into parts, each with a file of its own: settings in force
+// The state falls into parts, each with files of its own: settings in force
 // (adoption.go), who owns a flow (route.go), where a flow goes (target.go,
-// flow.go), requests (request.go, answer.go), the identities that make
-// at-most-once hold (witness.go, permission.go), and joining and leaving
-// (handover.go, leaving.go). Package detector keeps the leases.
+// flow.go, pinning.go, exceptions.go, health.go), requests on their way
+// (request.go, dispatch.go, answer.go, refusal.go, hold.go), the identities that
+// make at-most-once hold (witness.go, permission.go, isolation.go), and joining
+// and leaving (joining.go, handover.go, leaving.go). Package detector keeps the
+// leases.
 package reducer
 
 import (
--- a/operator/main.go
+++ b/operator/main.go
@@ -76,11 +76,13 @@
 	return printer.New(out, format), nil
 }
 
-func arguments(command *cli.Command, n int) ([]string, error) {
+// prepare checks the number of arguments and makes the printer.
+func prepare(out io.Writer, command *cli.Command, n int) ([]string, printer.Printer, error) {
 	if command.Args().Len() != n {
-		return nil, errors.Newf("usage: spanctl %s %s", command.Name, command.ArgsUsage)
+		return nil, printer.Printer{}, errors.Newf("usage: spanctl %s %s", command.Name, command.ArgsUsage)
 	}
-	return command.Args().Slice(), nil
+	p, err := newPrinter(out, command)
+	return command.Args().Slice(), p, err
 }
 
 func resolve(path string) (*resolver.Settings, error) {
@@ -93,11 +95,7 @@
 
 func check(out io.Writer) cli.ActionFunc {
 	return func(_ context.Context, command *cli.Command) error {
-		args, err := arguments(command, 1)
-		if err != nil {
-			return err
-		}
-		p, err := newPrinter(out, command)
+		args, p, err := prepare(out, command, 1)
 		if err != nil {
 			return err
 		}
@@ -118,11 +116,7 @@
 
 func explain(out io.Writer) cli.ActionFunc {
 	return func(_ context.Context, command *cli.Command) error {
-		args, err := arguments(command, 2)
-		if err != nil {
-			return err
-		}
-		p, err := newPrinter(out, command)
+		args, p, err := prepare(out, command, 2)
 		if err != nil {
 			return err
 		}
@@ -140,11 +134,7 @@
 
 func diff(out io.Writer) cli.ActionFunc {
 	return func(_ context.Context, command *cli.Command) error {
-		args, err := arguments(command, 2)
-		if err != nil {
-			return err
-		}
-		p, err := newPrinter(out, command)
+		args, p, err := prepare(out, command, 2)
 		if err != nil {
 			return err
 		}
@@ -198,11 +188,7 @@
 
 func flows(out io.Writer) cli.ActionFunc {
 	return func(ctx context.Context, command *cli.Command) error {
-		args, err := arguments(command, 1)
-		if err != nil {
-			return err
-		}
-		p, err := newPrinter(out, command)
+		args, p, err := prepare(out, command, 1)
 		if err != nil {
 			return err
 		}
