--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -361,6 +361,7 @@
 	case *messenger.Vouch:
 		d.hear(m, body.News, now)
 		d.believe(body.Subject, now)
+		d.trustVouch(body.Subject)
 	}
 }
 
--- a/core/detector/rumors.go
+++ b/core/detector/rumors.go
@@ -96,6 +96,17 @@
 	d.spread(r.Host)
 }
 
+// trustVouch takes a suspicion of this host's own back: somebody has reached the
+// host. It must not wait for the host itself to hear of the suspicion and
+// contradict it, since the link over which it would is the broken one.
+func (d *Detector) trustVouch(r messenger.Rumor) {
+	m, ok := d.members[r.Host]
+	if ok && !m.inCell && m.incarnation == r.Incarnation && m.liveness == messenger.LivenessSuspect {
+		m.liveness = messenger.LivenessAlive
+		d.spread(r.Host)
+	}
+}
+
 // spread queues a host's state for the next messages, often enough to reach
 // the whole fleet with high probability.
 func (d *Detector) spread(host string) {
