--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 FUMPT := mvdan.cc/gofumpt@v0.12.0
 
-.PHONY: help build demo up test red lint format check bench fuzz capacity compare
+.PHONY: help build demo up test red lint format check bench fuzz capacity compare throughput
 
 help: ## list the tasks
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -38,6 +38,9 @@
 bench: ## benchmarks of the hot paths
 	go test -run '^$$' -bench . -benchmem ./core/...
 
+throughput: build ## checks a second and added latency of one host
+	scripts/throughput.sh
+
 fuzz: ## the stateful fuzz and the decoders' fuzzers, for longer
 	go test ./core/reducer -run TestFleetAgainstOracle -rapid.checks=3000 -rapid.steps=100 -rapid.seed=$$(date +%s)
 	go test ./core/encoder -run '^$$' -fuzz FuzzOpen -fuzztime 30s
--- a/balancer/internal/linker/linker.go
+++ b/balancer/internal/linker/linker.go
@@ -20,6 +20,7 @@
 	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/reducer"
 	"github.com/coder/websocket"
+	"golang.org/x/time/rate"
 )
 
 // Kind tells callers which sort of failure an Error is.
@@ -50,6 +51,10 @@
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 2 * time.Second
 	path         = "/link"
+	// messagesPerSecond bounds what one link may bring; what is more waits in the
+	// connection and so with its sender, whose queue drops the oldest.
+	messagesPerSecond = 5000
+	messagesAtOnce    = 1000
 )
 
 // Counters count what happened on the links. They are safe for concurrent use.
@@ -114,7 +119,11 @@
 	}
 	defer func() { _ = conn.CloseNow() }()
 	conn.SetReadLimit(encoder.MaxControlBytes)
+	limiter := rate.NewLimiter(messagesPerSecond, messagesAtOnce)
 	for {
+		if limiter.Wait(ctx) != nil {
+			return
+		}
 		_, data, err := conn.Read(ctx)
 		if err != nil {
 			return
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -28,7 +28,8 @@
 
 start platform standin platform --settings "$settings"
 start fabric standin fabric --settings "$settings"
-start target standin target --settings "$settings"
+# shellcheck disable=SC2086
+start target standin target --settings "$settings" ${TARGET_FLAGS:-}
 
 # A line of the tree such as "pa-1: {address: A, fabricAddress: B}" is a host.
 port=8700
--- a/standin/internal/loader/loader.go
+++ b/standin/internal/loader/loader.go
@@ -60,6 +60,8 @@
 	NotifyEvery time.Duration
 	// UploadBlocks is the length of an upload.
 	UploadBlocks int
+	// Direct sends to the targets themselves, each flow to one, as a baseline.
+	Direct bool
 	// Targets are the control addresses of the targets' processes.
 	Targets []string
 	// Progress gets a line a second.
@@ -92,7 +94,11 @@
 			return Report{}, err
 		}
 		for i := range work.Flows {
-			running.Go(func() { l.flow(hard, work, address, uint16(i*7), end) })
+			to := address
+			if l.config.Direct {
+				to = l.targetOf(work.Service, i)
+			}
+			running.Go(func() { l.flow(hard, work, to, uint16(i*7), end) })
 		}
 	}
 	if l.config.OpenRate > 0 {
@@ -114,6 +120,16 @@
 	return netip.AddrPort{}, &Error{Op: "find service", Err: fmt.Errorf("no service %q in the settings", name)}
 }
 
+// targetOf returns a target of a service for the flow with a number.
+func (l *Loader) targetOf(name string, n int) netip.AddrPort {
+	for _, service := range l.settings.Services {
+		if service.Name == name && len(service.Targets) > 0 {
+			return service.Targets[n%len(service.Targets)].Address
+		}
+	}
+	return netip.AddrPort{}
+}
+
 func (l *Loader) progress(stop <-chan struct{}) {
 	if l.config.Progress == nil {
 		return
--- a/standin/main.go
+++ b/standin/main.go
@@ -68,6 +68,7 @@
 				&cli.DurationFlag{Name: "notifyEvery", Value: 200 * time.Millisecond},
 				&cli.IntFlag{Name: "uploadBlocks", Value: 20},
 				&cli.StringSliceFlag{Name: "targets", Value: []string{"127.0.0.1:8600"}, Usage: "control addresses of the targets"},
+				&cli.BoolFlag{Name: "direct", Usage: "send to the targets themselves, as a baseline"},
 				&cli.BoolFlag{Name: "json"},
 			}},
 		},
@@ -186,6 +187,7 @@
 	}
 	config := loader.Config{
 		OpenRate:     command.Int("openRate"),
+		Direct:       command.Bool("direct"),
 		Duration:     command.Duration("duration"),
 		Think:        command.Duration("think"),
 		NotifyEvery:  command.Duration("notifyEvery"),
