--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -215,6 +215,14 @@
 	d.round(now)
 }
 
+// NoteRevision takes in that a host has a settings revision in force, as a
+// forwarded packet says, which comes sooner than the next heartbeat.
+func (d *Detector) NoteRevision(host string, revision uint64) {
+	if m, ok := d.members[host]; ok {
+		m.revision = max(m.revision, revision)
+	}
+}
+
 // LastAnswer returns when the latest ping was sent that a host has answered.
 func (d *Detector) LastAnswer() timekeeper.Instant { return d.lastAnswer }
 
--- a/core/reducer/adoption.go
+++ b/core/reducer/adoption.go
@@ -165,7 +165,8 @@
 		if h.Name == r.self {
 			break
 		}
-		if h.AvailabilityZone == self.AvailabilityZone && r.detector.State(h.Name).Liveness == messenger.LivenessAlive {
+		alive := r.detector.State(h.Name).Liveness == messenger.LivenessAlive
+		if h.AvailabilityZone == self.AvailabilityZone && alive && !r.listedLeaving[h.Name] {
 			ahead++
 		}
 	}
@@ -177,9 +178,9 @@
 }
 
 func (r *Reducer) hostsPublished(e *HostsPublished) {
-	clear(r.avoidHosts)
+	clear(r.listedLeaving)
 	for _, name := range e.Leaving {
-		r.avoidHosts[name] = true
+		r.listedLeaving[name] = true
 	}
 }
 
--- a/core/reducer/event.go
+++ b/core/reducer/event.go
@@ -56,7 +56,7 @@
 }
 
 // HostsPublished is the platform's list of hosts. It lags, so it is a hint: a
-// host that it lists as leaving is passed over for new work, nothing more.
+// host that it lists as leaving does not count as a watcher, nothing more.
 type HostsPublished struct {
 	At      timekeeper.Instant
 	Leaving []string
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -66,7 +66,8 @@
 	services   map[resolver.ServiceID]*service
 	serviceIDs []resolver.ServiceID
 	lastUse    map[netip.AddrPort]addressUse
-	avoidHosts map[string]bool
+	// listedLeaving names hosts that the platform's list says are leaving.
+	listedLeaving map[string]bool
 
 	flows       *flowTable
 	dirtyShards int
@@ -118,7 +119,7 @@
 		rankers:       map[string]placer.Ranker{},
 		services:      map[resolver.ServiceID]*service{},
 		lastUse:       map[netip.AddrPort]addressUse{},
-		avoidHosts:    map[string]bool{},
+		listedLeaving: map[string]bool{},
 		flows:         newFlowTable(),
 		requests:      map[uint64]*request{},
 		byToken:       map[tokenKey]*request{},
@@ -222,6 +223,7 @@
 	case *messenger.PingRequest, *messenger.Vouch:
 		r.detector.Receive(e.From, body, r.now)
 	case *messenger.Forward:
+		r.detector.NoteRevision(e.From, body.Revision)
 		r.forwarded(body, e.Arrived)
 	case *messenger.Witness:
 		r.witness(e.From, body)
