Hosts can start while the platform is down; a tree needs peer keys

Cause: a host replaced during a platform outage never got settings, and a tree without keys let anybody speak as a host. Measured: TestRevisionIsInForceEverywhereAndStays/host_starts_while_the_platform_is_down, TestPlatformFails on real processes.

--- a/balancer/internal/configurer/configurer.go
+++ b/balancer/internal/configurer/configurer.go
@@ -7,7 +7,9 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"strings"
 
+	"cranberryspan.dev/core/resolver"
 	"go.yaml.in/yaml/v3"
 )
 
@@ -43,6 +45,10 @@
 	Platform      string `yaml:"platform"`
 	Admin         string `yaml:"admin"`
 	LogLevel      string `yaml:"logLevel"`
+	// Seeds is a list such as "pa-2=10.0.0.2:7000,ct-1=10.0.1.1:7000".
+	Seeds string `yaml:"seeds"`
+	// SeedKey is a peer key of the tree.
+	SeedKey string `yaml:"seedKey"`
 }
 
 // Config is a host's own settings, checked.
@@ -61,6 +67,10 @@
 	Admin netip.AddrPort
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
+	// Seeds are other hosts by name, which are asked for settings while the
+	// platform does not answer. SeedKey authenticates the question.
+	Seeds   map[string]netip.AddrPort
+	SeedKey resolver.Secret
 }
 
 // ReadFile reads a YAML file. An empty path gives an empty Text.
@@ -98,6 +108,8 @@
 		Platform:      pick(t.Platform, other.Platform),
 		Admin:         pick(t.Admin, other.Admin),
 		LogLevel:      pick(t.LogLevel, other.LogLevel),
+		Seeds:         pick(t.Seeds, other.Seeds),
+		SeedKey:       pick(t.SeedKey, other.SeedKey),
 	}
 }
 
@@ -131,9 +143,29 @@
 		return Config{}, &Error{Op: "check host settings", Kind: KindInvalid, Err: fmt.Errorf("platform: %q is no URL such as http://10.0.0.9:8080", t.Platform)}
 	}
 	config.Platform = platform
+	config.SeedKey = resolver.Secret(t.SeedKey)
+	if config.Seeds, err = parseSeeds(t.Seeds); err != nil {
+		return Config{}, err
+	}
 	return config, nil
 }
 
+func parseSeeds(text string) (map[string]netip.AddrPort, error) {
+	seeds := map[string]netip.AddrPort{}
+	if text == "" {
+		return seeds, nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		name, address, _ := strings.Cut(part, "=")
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil || name == "" {
+			return nil, &Error{Op: "check host settings", Kind: KindInvalid, Err: fmt.Errorf("seeds: %q is no NAME=ADDRESS such as pa-2=10.0.0.2:7000", part)}
+		}
+		seeds[name] = parsed
+	}
+	return seeds, nil
+}
+
 func missing(key string) error {
 	return &Error{Op: "check host settings", Kind: KindInvalid, Err: fmt.Errorf("%s is missing: give it as a flag, in the environment or in the file", key)}
 }
--- a/balancer/internal/configurer/configurer_test.go
+++ b/balancer/internal/configurer/configurer_test.go
@@ -24,6 +24,7 @@
 		"no name":     func(text *configurer.Text) { text.Name = "" },
 		"no address":  func(text *configurer.Text) { text.Address = "" },
 		"host name":   func(text *configurer.Text) { text.Fabric = "fabric:8500" },
+		"bad seed":    func(text *configurer.Text) { text.Seeds = "pa-2:7000" },
 		"no platform": func(text *configurer.Text) { text.Platform = "10.0.0.9" },
 	} {
 		text := complete()
--- a/balancer/internal/runner/runner.go
+++ b/balancer/internal/runner/runner.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -72,9 +75,16 @@
 		Incarnation: incarnation,
 		Seed:        incarnation,
 		Timing:      timing,
+		Seeds:       slices.Sorted(maps.Keys(config.Seeds)),
 		Start:       r.now(),
 	})
-	r.sealer.Store(encoder.New(config.Name, nil))
+	// Until the tree is known, only its key lets peers answer. Without it a key
+	// that nobody knows keeps everybody out.
+	key := config.SeedKey
+	if key == "" {
+		key = resolver.Secret(rand.Text())
+	}
+	r.sealer.Store(encoder.New(config.Name, []resolver.Secret{key}))
 	var err error
 	if r.carrier, err = carrier.New(config.FabricAddress, config.Address, config.Fabric, &r.sealer, r.now, r.events); err != nil {
 		return nil, errors.Wrap(err, "start")
@@ -236,6 +246,9 @@
 
 func (r *Runner) toPeer(ctx context.Context, e *reducer.ToPeer) {
 	if r.settings == nil {
+		if address, ok := r.config.Seeds[e.Host]; ok {
+			r.linker.Send(ctx, e.Host, address, e.Body)
+		}
 		return
 	}
 	host, ok := r.settings.HostNamed(e.Host)
--- a/balancer/main.go
+++ b/balancer/main.go
@@ -41,6 +41,8 @@
 			flag("fabric", "address of the fabric"),
 			flag("platform", "URL of the platform's service"),
 			flag("admin", "address for status and metrics over HTTP"),
+			flag("seeds", "other hosts to ask for settings while the platform is down: NAME=ADDRESS,..."),
+			flag("seedKey", "a peer key of the tree, for these; better set in the environment"),
 			flag("logLevel", "debug, info, warn or error"),
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -89,6 +91,8 @@
 		Platform:      command.String("platform"),
 		Admin:         command.String("admin"),
 		LogLevel:      command.String("logLevel"),
+		Seeds:         command.String("seeds"),
+		SeedKey:       command.String("seedKey"),
 	}
 	config, err := fromFlags.Over(fromFile).Check()
 	if err != nil {
--- a/core/driver/driver.go
+++ b/core/driver/driver.go
@@ -49,6 +49,8 @@
 	nextID  uint64
 	careful map[RequestID]bool
 
+	// Seeds are told to hosts that start.
+	Seeds []string
 	// Replies and Answers record what callers got, by exchange.
 	Replies []CallerReply
 	Answers []CallerAnswer
@@ -147,6 +149,7 @@
 				Incarnation: f.starts * 1000,
 				Seed:        f.starts,
 				Timing:      detector.DefaultTiming(),
+				Seeds:       f.Seeds,
 				Start:       f.Now,
 			}),
 			running:  true,
--- a/core/driver/tree.go
+++ b/core/driver/tree.go
@@ -60,6 +60,7 @@
 	var b []byte
 	line := func(format string, args ...any) { b = fmt.Appendf(b, format+"\n", args...) }
 	line("version: 1")
+	line("peerKeys: [a-key-for-experiments]")
 	line("defaults:")
 	line("  requestDeadline: 2s")
 	for _, d := range t.Defaults {
--- a/core/encoder/encoder.go
+++ b/core/encoder/encoder.go
@@ -185,7 +185,8 @@
 	keys []resolver.Secret
 }
 
-// New makes a Sealer. Without keys, messages bear a tag under the empty key.
+// New makes a Sealer. Without keys, as in experiments without a network, messages
+// bear a tag under the empty key.
 func New(self string, keys []resolver.Secret) *Sealer {
 	if len(keys) == 0 {
 		keys = []resolver.Secret{""}
--- a/core/reducer/adoption.go
+++ b/core/reducer/adoption.go
@@ -112,6 +112,20 @@
 	r.sendPeer(host, &messenger.SettingsRequest{Above: r.Revision()})
 }
 
+// askSeeds asks hosts that the process was told of for settings.
+//
+// What goes wrong without it: a host is replaced while the platform is down. It
+// knows neither the tree nor its peers, and its place stays empty until the
+// platform is back. One notices by a host that is up and never ready.
+func (r *Reducer) askSeeds() {
+	const askEvery = time.Second
+	if len(r.seeds) == 0 || !r.askedDeadline.Passed(r.now) {
+		return
+	}
+	r.askedDeadline = r.now.Add(askEvery)
+	r.sendPeer(r.seeds[r.random.IntN(len(r.seeds))], &messenger.SettingsRequest{})
+}
+
 func (r *Reducer) sendSettings(to string, above uint64) {
 	if r.settings == nil || r.Revision() <= above {
 		return
--- a/core/reducer/example_test.go
+++ b/core/reducer/example_test.go
@@ -16,6 +16,7 @@
 // driver connects several.
 func ExampleReducer_Reduce() {
 	const tree = `version: 1
+peerKeys: [a-key-for-this-example]
 defaults: {repeatWindow: 1s}
 regions:
   sicily:
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -37,6 +37,9 @@
 	Seed uint64
 	// Timing of failure detection; see detector.DefaultTiming.
 	Timing detector.Timing
+	// Seeds names hosts that may be asked for settings while the platform does
+	// not answer; empty if none are known.
+	Seeds []string
 	// Start is the present time.
 	Start timekeeper.Instant
 }
@@ -78,6 +81,7 @@
 	spare    []*request
 	// tenantLoad counts the requests under way by tenant.
 	tenantLoad map[string]int
+	seeds      []string
 	held       []heldPacket
 	heldIDs    map[uint64]bool
 
@@ -115,6 +119,7 @@
 	r := &Reducer{
 		self:          config.Self,
 		now:           config.Start,
+		seeds:         config.Seeds,
 		random:        rand.New(rand.NewPCG(config.Seed, config.Incarnation)),
 		rankers:       map[string]placer.Ranker{},
 		services:      map[resolver.ServiceID]*service{},
@@ -261,6 +266,7 @@
 func (r *Reducer) tick() {
 	r.detector.Tick(r.now)
 	if r.settings == nil {
+		r.askSeeds()
 		return
 	}
 	r.catchUp()
--- a/core/reducer/settings_test.go
+++ b/core/reducer/settings_test.go
@@ -59,6 +59,16 @@
 			f.Start("a1")
 			all(t, f, 2)
 		}},
+		{"host starts while the platform is down", func(t *testing.T, f *driver.Fleet) {
+			f.Publish(next.Document())
+			all(t, f, 2)
+			f.PlatformDown = true
+			f.Kill("a1")
+			f.Seeds = []string{"b1", "c1"}
+			f.Start("a1")
+			all(t, f, 2)
+			waitReady(t, f, "a1")
+		}},
 		{"platforms differ by zone", func(t *testing.T, f *driver.Fleet) {
 			for _, name := range []string{"a1", "a2", "a3"} {
 				f.CutPlatform(name, true)
--- a/core/resolver/build.go
+++ b/core/resolver/build.go
@@ -172,6 +172,9 @@
 			b.region(region, base)
 		}
 	}
+	if !slices.ContainsFunc(entries, func(e entry) bool { return e.key == "peerKeys" }) {
+		b.find(node, "peerKeys", "peerKeys is missing", "a list of one or two keys", "make a random key: without one anybody could speak as a host")
+	}
 	if len(b.settings.Hosts) == 0 && len(b.findings) == 0 {
 		b.find(node, "regions", "the tree has no hosts", "at least one host", "add hosts below an availability zone")
 	}
--- a/core/resolver/resolver_test.go
+++ b/core/resolver/resolver_test.go
@@ -52,6 +52,7 @@
 		{"short prefix", "fd00:51c1::/64", "fd00:51c1::/48", "does not fit"},
 		{"missing prefix", "    returnPrefix: fd00:51c1::/64\n", "", "returnPrefix is missing"},
 		{"no mapping", "regions:\n", "regions: 7\nelsewhere:\n", "not a mapping"},
+		{"no keys", "peerKeys: [an-old-key-of-some-length, a-new-key-of-some-length]\n", "", "peerKeys is missing"},
 		{"short key", "a-new-key-of-some-length", "short", "the key is short"},
 		{"version", "version: 1", "version: 2", "unknown version"},
 	}
--- a/operator/main_test.go
+++ b/operator/main_test.go
@@ -11,6 +11,7 @@
 )
 
 const tree = `version: 1
+peerKeys: [a-key-for-these-tests]
 defaults:
   weight: 100
 regions:
@@ -55,8 +56,8 @@
 		contains []string
 	}{
 		{"check valid", []string{"check", valid}, exitOK, []string{"valid: 1 hosts, 1 services, 1 targets"}},
-		{"check reports all", []string{"check", broken}, exitInvalid, []string{"nowhere", "stands at", `"0" does not fit`, "colour: unknown key", "broken.yaml:20"}},
-		{"check as JSON", []string{"--output", "json", "check", broken}, exitInvalid, []string{`"problem": "unknown key"`, `"line": 20`}},
+		{"check reports all", []string{"check", broken}, exitInvalid, []string{"nowhere", "stands at", `"0" does not fit`, "colour: unknown key", "broken.yaml:21"}},
+		{"check as JSON", []string{"--output", "json", "check", broken}, exitInvalid, []string{`"problem": "unknown key"`, `"line": 21`}},
 		{"explain", []string{"explain", valid, "ledger-01"}, exitOK, []string{
 			"weight", "50", "regions.sicily.services.ledger.targets.ledger-01",
 			"slots", "regions.sicily.defaults", "connections", "1500", "pa-hall.defaults", "built in",
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -88,6 +88,7 @@
 without "shedding what would be late" reducer/dispatch.go 'case r.now.Add(t.expectedWait(r.now)) >= q.deadline:' 'case false:' TestWhatWouldBeLateIsRefusedAtOnce
 without "the comparison of revisions" reducer/adoption.go 'if revision <= r.Revision() ||' 'if revision == r.Revision() ||' TestRevisionIsInForceEverywhereAndStays
 without "learning settings from peers" reducer/adoption.go 'if host == "" || highest' 'if true || host == "" || highest' TestRevisionIsInForceEverywhereAndStays
+without "asking other hosts at the start" reducer/adoption.go 'if len(r.seeds) == 0 ||' 'if true ||' TestRevisionIsInForceEverywhereAndStays
 without "few watchers" reducer/adoption.go 'watch := !ok || ahead < watchersPerZone' 'watch := !ok || ahead >= 0' TestFewHostsOfAZoneRead
 
 echo "$passed passed, $failed failed"
--- a/scripts/throughput.sh
+++ b/scripts/throughput.sh
@@ -10,6 +10,7 @@
 trap 'rm -f "$tree"' EXIT
 cat >"$tree" <<TREE
 version: 1
+peerKeys: [a-key-for-measuring]
 defaults: {repeatWindow: 1s, slots: 1000, queueLength: 1000}
 regions:
   one:
--- a/standin/system_e2e_test.go
+++ b/standin/system_e2e_test.go
@@ -144,6 +144,13 @@
 	s.post(8400, "/control/mode", `{"down": true}`)
 	time.Sleep(2 * time.Second)
 	s.waitRevision(2, s.hosts...)
+	s.signal(s.hosts[3], syscall.SIGTERM)
+	<-s.hosts[3].done
+	seed := s.settings.Hosts[0]
+	s.hosts[3].args = append(s.hosts[3].args, "--seeds", seed.Name+"="+seed.Address.String(), "--seedKey", "a-key-for-these-tests")
+	s.launch(s.hosts[3])
+	s.waitReady(s.hosts[3])
+	s.waitRevision(2, s.hosts...)
 	s.post(8400, "/control/mode", `{}`)
 	s.post(8400, "/control/publish", "version: 1\nregions: 7\n")
 	require.Eventually(t, func() bool {
