--- a/core/comparer/scenario.go
+++ b/core/comparer/scenario.go
@@ -93,7 +93,7 @@
 	return driver.Tree{
 		Zones:    []int{3, 3, 2},
 		Services: []driver.TreeService{{Targets: numbers(1, 14), Address: 1}},
-		Defaults: []string{"repeatWindow: 2s", "slots: 1000", "flowMemory: 10m"},
+		Defaults: []string{"exchangeLifetime: 2s", "slots: 1000", "flowMemory: 10m"},
 	}
 }
 
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -50,7 +50,7 @@
 	sequence uint64
 	pings    map[uint64]sentPing
 	rumors   []spreading
-	trusts   map[string]trust
+	held     map[string]heldVote
 	outgoing []Outgoing
 	relays   []relay
 
@@ -84,7 +84,7 @@
 		phase:       messenger.PhaseJoining,
 		members:     map[string]*member{},
 		pings:       map[uint64]sentPing{},
-		trusts:      map[string]trust{},
+		held:        map[string]heldVote{},
 		decorate:    decorate,
 		now:         start,
 		start:       start,
@@ -258,7 +258,7 @@
 		d.suspect(m, now)
 	}
 	if m.liveness == messenger.LivenessSuspect && m.suspectDeadline.Passed(now) {
-		d.giveUp(m, now)
+		d.declareDead(m, now)
 	}
 }
 
@@ -271,7 +271,7 @@
 		return
 	}
 	if m.grantDeadline.Passed(now) {
-		d.giveUp(m, now)
+		d.declareDead(m, now)
 	}
 }
 
@@ -284,7 +284,7 @@
 	d.spread(m.host.Name)
 }
 
-func (d *Detector) giveUp(m *member, now timekeeper.Instant) {
+func (d *Detector) declareDead(m *member, now timekeeper.Instant) {
 	m.liveness = messenger.LivenessDead
 	m.leaseDeadline = 0
 	if m.incarnation != 0 && !m.left {
@@ -369,7 +369,7 @@
 	case *messenger.Vouch:
 		d.hear(m, body.News, now)
 		d.believe(body.Subject, now)
-		d.trustVouch(body.Subject)
+		d.acceptVouch(body.Subject)
 	}
 }
 
@@ -497,7 +497,7 @@
 	if votes(d.phase) || m.liveness == messenger.LivenessDead {
 		return
 	}
-	d.giveUp(m, now)
+	d.declareDead(m, now)
 }
 
 // hearOwnDeath takes in that a cell peer gave this host up. The host answers
--- a/core/detector/quorum.go
+++ b/core/detector/quorum.go
@@ -68,12 +68,12 @@
 // half with the vote of the first name of the roster.
 //
 // What is counted is names, not hosts: a host that leaves by plan gives its vote
-// to one that stays (see trust). Each name's vote is in one hand at any time, so
+// to one that stays (see heldVote). Each name's vote is in one hand at any time, so
 // any two quorums have a name in common, and with it the hand that holds it.
-func (d *Detector) quorum(r roster, own func(t trust) bool, votes func(m *member) []string) bool {
+func (d *Detector) quorum(r roster, own func(v heldVote) bool, votes func(m *member) []string) bool {
 	cast := map[string]bool{}
-	for name, t := range d.trusts {
-		if own(t) {
+	for name, v := range d.held {
+		if own(v) {
 			cast[name] = true
 		}
 	}
@@ -127,7 +127,7 @@
 	if !ok || denied.liveness != messenger.LivenessDead || !votes(d.phase) {
 		return false
 	}
-	settled := func(t trust) bool { return t.deniesFrom.Passed(d.now) }
+	settled := func(v heldVote) bool { return v.deniesFrom.Passed(d.now) }
 	return d.quorum(d.cell, settled, func(m *member) []string {
 		if !denied.deniedBy[m.host.Name] {
 			return nil
--- a/core/detector/rumors.go
+++ b/core/detector/rumors.go
@@ -96,10 +96,10 @@
 	d.spread(r.Host)
 }
 
-// trustVouch takes a suspicion of this host's own back: somebody has reached the
+// acceptVouch takes a suspicion of this host's own back: somebody has reached the
 // host. It must not wait for the host itself to hear of the suspicion and
 // contradict it, since the link over which it would is the broken one.
-func (d *Detector) trustVouch(r messenger.Rumor) {
+func (d *Detector) acceptVouch(r messenger.Rumor) {
 	m, ok := d.members[r.Host]
 	if ok && !m.inCell && m.incarnation == r.Incarnation && m.liveness == messenger.LivenessSuspect {
 		m.liveness = messenger.LivenessAlive
--- a/core/detector/trust.go
+++ b/core/detector/votes.go
@@ -8,13 +8,13 @@
 	"cranberryspan.dev/core/timekeeper"
 )
 
-// trust is a vote in this host's hands: its own, or that of a host that left.
+// heldVote is a vote in this host's hands: its own, or that of a host that left.
 //
 // What goes wrong without it: a cell of three has lost one host; a second one is
 // stopped by plan. The third can't know whether the lost one is dead or cut off,
 // so alone it has no quorum, and the cell refuses checks although every step was
 // by the book. With its vote left to the third host, the cell goes on.
-type trust struct {
+type heldVote struct {
 	// deniesFrom is when every vote that its former hand has cast is over, so
 	// that giving a host up with it takes no lease that the host still holds.
 	// For a host it can be cast at once.
@@ -27,7 +27,7 @@
 // and withholds, and those that can't give anybody up yet.
 func (d *Detector) votesFor(peer *member) (cast, withheld, unsettled []string) {
 	for _, name := range d.cell.names {
-		t, ok := d.trusts[name]
+		t, ok := d.held[name]
 		if !ok {
 			continue
 		}
@@ -44,19 +44,19 @@
 }
 
 // refuses reports whether the vote's former hand had given a host up.
-func (t trust) refuses(host string, incarnation uint64) bool {
-	denied := t.denied[host]
+func (v heldVote) refuses(host string, incarnation uint64) bool {
+	denied := v.denied[host]
 	return denied != 0 && denied == incarnation
 }
 
 // speaksForSelf reports whether a vote counts for this host itself.
-func (d *Detector) speaksForSelf(t trust) bool { return !t.refuses(d.self, d.incarnation) }
+func (d *Detector) speaksForSelf(v heldVote) bool { return !v.refuses(d.self, d.incarnation) }
 
 // reclaim takes this host's own vote back after a start. The process can't know
 // whether an earlier one left its vote to somebody, so every host of the cell
 // must say that it does not hold it.
 func (d *Detector) reclaim(now timekeeper.Instant) {
-	if _, ok := d.trusts[d.self]; ok || !votes(d.phase) || d.phase == messenger.PhaseLeaving {
+	if _, ok := d.held[d.self]; ok || !votes(d.phase) || d.phase == messenger.PhaseLeaving {
 		return
 	}
 	for _, name := range d.cell.names {
@@ -67,7 +67,7 @@
 	if d.heldInCell(d.self, now) {
 		return
 	}
-	d.trusts[d.self] = trust{deniesFrom: d.start.Add(d.timing.Grant)}
+	d.held[d.self] = heldVote{deniesFrom: d.start.Add(d.timing.Grant)}
 }
 
 // GiveVotes takes votes out of this host's hands, for a peer that gets them with
@@ -75,9 +75,9 @@
 // It also lists what they must not be cast for.
 func (d *Detector) GiveVotes(to string, all bool) (names []string, denied []messenger.Rumor) {
 	for _, name := range d.cell.names {
-		if _, ok := d.trusts[name]; ok && (all || name == to) {
+		if _, ok := d.held[name]; ok && (all || name == to) {
 			names = append(names, name)
-			delete(d.trusts, name)
+			delete(d.held, name)
 		}
 	}
 	for _, name := range d.names {
@@ -95,8 +95,8 @@
 		refused[r.Host] = r.Incarnation
 	}
 	for _, name := range names {
-		if _, ok := d.trusts[name]; !ok && slices.Contains(d.cell.names, name) {
-			d.trusts[name] = trust{deniesFrom: now.Add(d.timing.Grant), denied: refused}
+		if _, ok := d.held[name]; !ok && slices.Contains(d.cell.names, name) {
+			d.held[name] = heldVote{deniesFrom: now.Add(d.timing.Grant), denied: refused}
 		}
 	}
 }
--- a/core/driver/driver.go
+++ b/core/driver/driver.go
@@ -44,10 +44,10 @@
 	Serving uint64
 	cut     map[[2]string]bool
 
-	targets map[netip.AddrPort]*Target
-	packets map[uint64]packetNote
-	nextID  uint64
-	careful map[RequestID]bool
+	targets       map[netip.AddrPort]*Target
+	packets       map[uint64]packetNote
+	nextID        uint64
+	nonIdempotent map[RequestID]bool
 
 	// Seeds are told to hosts that start.
 	Seeds []string
@@ -62,6 +62,7 @@
 	// Messages counts control messages, Probes probes of targets.
 	Messages int
 	Probes   int
+	ByKind   map[string]int
 	// Measure makes the fleet encode control messages to count their bytes.
 	Measure bool
 	sealers map[string]*encoder.Sealer
@@ -121,16 +122,16 @@
 // New makes a fleet without hosts. document becomes revision 1.
 func New(seed uint64, document []byte) *Fleet {
 	return &Fleet{
-		Now:       timekeeper.Instant(time.Second),
-		random:    rand.New(rand.NewPCG(seed, 1)),
-		hosts:     map[string]*host{},
-		documents: [][]byte{document},
-		cut:       map[[2]string]bool{},
-		targets:   map[netip.AddrPort]*Target{},
-		packets:   map[uint64]packetNote{},
-		Bytes:     map[string]int{},
-		careful:   map[RequestID]bool{},
-		sealers:   map[string]*encoder.Sealer{},
+		Now:           timekeeper.Instant(time.Second),
+		random:        rand.New(rand.NewPCG(seed, 1)),
+		hosts:         map[string]*host{},
+		documents:     [][]byte{document},
+		cut:           map[[2]string]bool{},
+		targets:       map[netip.AddrPort]*Target{},
+		packets:       map[uint64]packetNote{},
+		Bytes:         map[string]int{},
+		nonIdempotent: map[RequestID]bool{},
+		sealers:       map[string]*encoder.Sealer{},
 	}
 }
 
@@ -242,7 +243,7 @@
 	}
 	packet.Exchange = id.Exchange
 	if packet.Kind == messenger.KindRequest && !packet.Flags.Has(messenger.FlagIdempotent) {
-		f.careful[id] = true
+		f.nonIdempotent[id] = true
 	}
 	packet.Payload = f.note(id, packet)
 	f.after(d+Latency, host, &reducer.CallerPacket{Caller: id.Caller, Service: id.Service, Packet: packet})
@@ -443,5 +444,5 @@
 	return netip.Addr{}
 }
 
-// IsCareful reports whether a request was one that must not run twice.
-func (f *Fleet) IsCareful(id RequestID) bool { return f.careful[id] }
+// IsNonIdempotent reports whether a request was one that must not run twice.
+func (f *Fleet) IsNonIdempotent(id RequestID) bool { return f.nonIdempotent[id] }
--- a/core/driver/tree.go
+++ b/core/driver/tree.go
@@ -17,7 +17,7 @@
 	Cells int
 	// Services are named s1, s2 and so on, with IDs from 1.
 	Services []TreeService
-	// RepeatWindow and the like go into the defaults, as "key: value" lines.
+	// ExchangeLifetime and the like go into the defaults, as "key: value" lines.
 	Defaults []string
 }
 
--- a/core/reducer/adoption.go
+++ b/core/reducer/adoption.go
@@ -75,7 +75,7 @@
 	cells := placer.NewCells(settings.Hosts)
 	if len(r.services) > 0 {
 		r.earlierCells = r.cells
-		r.movedDeadline = r.now.Add(r.repeatWindow())
+		r.movedDeadline = r.now.Add(r.exchangeLifetime())
 	}
 	r.cells = cells
 	r.dirtyShards = flowShards
@@ -198,11 +198,11 @@
 	}
 }
 
-// repeatWindow is the longest repeat window of all services.
-func (r *Reducer) repeatWindow() time.Duration {
+// exchangeLifetime is the longest exchange lifetime of all services.
+func (r *Reducer) exchangeLifetime() time.Duration {
 	var longest time.Duration
 	for _, id := range r.serviceIDs {
-		longest = max(longest, r.services[id].settings.Policy.RepeatWindow)
+		longest = max(longest, r.services[id].settings.Policy.ExchangeLifetime)
 	}
 	return longest
 }
--- a/core/reducer/answer.go
+++ b/core/reducer/answer.go
@@ -70,7 +70,7 @@
 	}
 	r.leave(q)
 	q.state = stateAnswered
-	if q.careful() && len(in.packet.Payload) <= maxKeptAnswer {
+	if q.nonIdempotent() && len(in.packet.Payload) <= maxKeptAnswer {
 		q.answer = append([]byte(nil), in.packet.Payload...)
 	}
 	q.packet.Payload = nil
--- a/core/reducer/bench_test.go
+++ b/core/reducer/bench_test.go
@@ -19,7 +19,7 @@
 	tb.Helper()
 	tree := sicily()
 	tree.Zones = []int{1}
-	tree.Defaults = []string{"repeatWindow: 1s", "slots: 10000", "queueLength: 0"}
+	tree.Defaults = []string{"exchangeLifetime: 1s", "slots: 10000", "queueLength: 0"}
 	now := timekeeper.Instant(time.Second)
 	host := reducer.New(reducer.Config{Self: "a1", Incarnation: 1, Seed: 1, Timing: detector.DefaultTiming(), Start: now})
 	host.Reduce(&reducer.SettingsPublished{At: now, Revision: 1, Document: tree.Document()})
--- a/core/reducer/dispatch.go
+++ b/core/reducer/dispatch.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if t.inFlight < t.room(r.now) {
-		r.admit(q)
+		r.countForTenant(q)
 		r.start(q)
 		return
 	}
@@ -34,14 +34,14 @@
 	case r.now.Add(t.expectedWait(r.now)) >= q.deadline:
 		r.refuse(q, OutcomeNotRun, RefuseTooLate)
 	default:
-		r.admit(q)
+		r.countForTenant(q)
 		q.state = stateQueued
 		t.queue = append(t.queue, q)
 	}
 }
 
-// admit counts a request for its tenant until it leaves.
-func (r *Reducer) admit(q *request) {
+// countForTenant counts a request for its tenant until it leaves.
+func (r *Reducer) countForTenant(q *request) {
 	q.counted = true
 	r.tenantLoad[q.service.settings.Tenant]++
 }
@@ -68,7 +68,7 @@
 func (r *Reducer) start(q *request) {
 	q.inFlight = true
 	q.service.registry[q.target].inFlight++
-	if q.careful() && r.askWitness(q) {
+	if q.nonIdempotent() && r.askWitness(q) {
 		q.state = stateWitnessing
 		return
 	}
@@ -84,7 +84,7 @@
 		Return:  resolver.ReturnAddress(q.service.settings.ReturnPrefix, q.key),
 		Payload: q.packet.Payload,
 	}
-	if q.careful() {
+	if q.nonIdempotent() {
 		e.Deadline = r.now.Add(sendSpan)
 	} else {
 		share := q.deadline.Until(q.since) / maxAttempts
@@ -133,7 +133,7 @@
 		r.age(q)
 		if q.state == stateAnswered || q.state == stateRefused {
 			q.active = false
-			if !q.careful() {
+			if !q.nonIdempotent() {
 				r.forget(q)
 			}
 			continue
--- a/core/reducer/example_test.go
+++ b/core/reducer/example_test.go
@@ -17,7 +17,7 @@
 func ExampleReducer_Reduce() {
 	const tree = `version: 1
 peerKeys: [a-key-for-this-example]
-defaults: {repeatWindow: 1s}
+defaults: {exchangeLifetime: 1s}
 regions:
   sicily:
     returnPrefix: fd00:51c1::/64
--- a/core/reducer/fixture_test.go
+++ b/core/reducer/fixture_test.go
@@ -23,7 +23,7 @@
 			{Targets: numbers(1, 14), Address: 1},
 			{Targets: numbers(21, 24), Address: 2},
 		},
-		Defaults: []string{"repeatWindow: 10s", "flowMemory: 5m", "slots: 50"},
+		Defaults: []string{"exchangeLifetime: 10s", "flowMemory: 5m", "slots: 50"},
 	}
 }
 
@@ -133,7 +133,7 @@
 	t.Helper()
 	for _, target := range f.Targets() {
 		for id, n := range target.Runs {
-			if f.IsCareful(id) {
+			if f.IsNonIdempotent(id) {
 				require.LessOrEqual(t, f.Runs(id), 1, "request %v ran %d times here: %s", id, n, journey(f, id))
 			}
 		}
--- a/core/reducer/fuzz_test.go
+++ b/core/reducer/fuzz_test.go
@@ -79,7 +79,7 @@
 	tree.Zones = []int{3, 2}
 	tree.Services[0].Targets = numbers(1, 6)
 	tree.Services[1].Targets = numbers(21, 22)
-	tree.Defaults = []string{"repeatWindow: 10s", "slots: 4", "queueLength: 8"}
+	tree.Defaults = []string{"exchangeLifetime: 10s", "slots: 4", "queueLength: 8"}
 	f := driver.New(rapid.Uint64().Draw(t, "seed"), tree.Document())
 	f.Start(tree.HostNames()...)
 	for _, n := range append(numbers(1, 6), 21, 22) {
@@ -211,13 +211,13 @@
 	m.f.Sent = slices.DeleteFunc(m.f.Sent, func(p driver.TargetPacket) bool { return p.At.Add(30*time.Second) < m.f.Now })
 	for _, target := range m.f.Targets() {
 		for id := range target.Runs {
-			if m.f.IsCareful(id) && m.f.Runs(id) > 1 {
+			if m.f.IsNonIdempotent(id) && m.f.Runs(id) > 1 {
 				t.Fatalf("request %v ran %d times: %s", id, m.f.Runs(id), journey(m.f, id))
 			}
 		}
 	}
 	for _, r := range m.f.Replies {
-		if m.f.IsCareful(r.ID) && fmt.Sprint(r.Outcome) == "not run" && m.f.Runs(r.ID) > 0 {
+		if m.f.IsNonIdempotent(r.ID) && fmt.Sprint(r.Outcome) == "not run" && m.f.Runs(r.ID) > 0 {
 			t.Fatalf("request %v was refused as not run (%v) at %v: %s", r.ID, r.Reason, time.Duration(r.At), journey(m.f, r.ID))
 		}
 	}
--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -182,7 +182,7 @@
 		}
 	}
 	h.doneSent = true
-	if !h.leaving || to == r.trustee() {
+	if !h.leaving || to == r.voteHolder() {
 		chunk.Votes, chunk.Denied = r.detector.GiveVotes(to, h.leaving)
 	}
 	if !h.leaving {
@@ -194,7 +194,7 @@
 // request that callers may repeat. One host that lost its memory does no harm:
 // the next one held its identities. Of two, one may have held the other's.
 func (r *Reducer) uncertainUntil() timekeeper.Instant {
-	window := r.repeatWindow()
+	window := r.exchangeLifetime()
 	lost, until := 0, timekeeper.Instant(0)
 	for _, name := range r.detector.Cell() {
 		state := r.detector.State(name)
@@ -272,7 +272,7 @@
 		return
 	}
 	r.takeRecords(body.Flows, false)
-	deadline := r.now.Add(r.repeatWindow())
+	deadline := r.now.Add(r.exchangeLifetime())
 	for _, id := range body.Identities {
 		r.identities.add(id, deadline)
 	}
--- a/core/reducer/hold.go
+++ b/core/reducer/hold.go
@@ -59,7 +59,7 @@
 	in.packet = &h.packet
 	q := r.newRequest(&in, h.id)
 	outcome := OutcomeNotRun
-	if q.careful() {
+	if q.nonIdempotent() {
 		// An earlier copy of the datagram may have run at another host.
 		outcome = OutcomeUnknown
 	}
--- a/core/reducer/joining.go
+++ b/core/reducer/joining.go
@@ -49,7 +49,7 @@
 	clear(r.handedTo)
 	clear(r.handovers)
 	for _, q := range r.active {
-		if q.careful() && (q.state == stateQueued || q.state == stateWitnessing) {
+		if q.nonIdempotent() && (q.state == stateQueued || q.state == stateWitnessing) {
 			// Another host may have run it meanwhile.
 			r.leave(q)
 			q.state = stateOrphan
@@ -63,7 +63,7 @@
 	if r.joining.over || r.shutdown {
 		return
 	}
-	if r.joining.since.Add(r.repeatWindow()).Passed(r.now) && r.detector.Phase() == messenger.PhaseJoining {
+	if r.joining.since.Add(r.exchangeLifetime()).Passed(r.now) && r.detector.Phase() == messenger.PhaseJoining {
 		r.detector.SetPhase(messenger.PhaseWaited)
 	}
 	if r.recordsComplete() {
--- a/core/reducer/leaving.go
+++ b/core/reducer/leaving.go
@@ -51,9 +51,9 @@
 	return r.takesPart(name, true) && state.Phase == messenger.PhaseReady && r.refusedBy[name] != state.Incarnation
 }
 
-// trustee returns the host that gets this host's votes when it leaves: the first
+// voteHolder returns the host that gets this host's votes when it leaves: the first
 // of its cell that stays.
-func (r *Reducer) trustee() string {
+func (r *Reducer) voteHolder() string {
 	for _, name := range r.detector.Cell() {
 		if name != r.self && r.stays(name) {
 			return name
@@ -95,7 +95,7 @@
 	if r.pendingHandover(func(h *handoverOut) bool { return h.last != nil || len(h.flows)+len(h.identities) > 0 }) {
 		return
 	}
-	if r.trustee() == "" && r.running() {
+	if r.voteHolder() == "" && r.running() {
 		// The last host of a cell has nobody to hand over to, so it finishes
 		// what it has.
 		return
--- a/core/reducer/once_test.go
+++ b/core/reducer/once_test.go
@@ -67,7 +67,7 @@
 		t.Run(pause.String(), func(t *testing.T) {
 			f := newFleet(t, sicily())
 			const flows = 150
-			// Callers repeat a request for 8 s, less than the repeat window.
+			// Callers repeat a request for 8 s, less than the exchange lifetime.
 			began := f.Now
 			number := func() int { return 1 + int((f.Now-began)/timekeeper.Instant(8*time.Second)) }
 			f.Pause("a1")
--- a/core/reducer/permission.go
+++ b/core/reducer/permission.go
@@ -49,7 +49,7 @@
 		}
 		state := r.detector.State(name)
 		switch {
-		case r.leftElsewhere(state, s.settings.Policy.RepeatWindow):
+		case r.leftElsewhere(state, s.settings.Policy.ExchangeLifetime):
 			return permissionUncertain
 		case r.hasLeft(state):
 			continue
@@ -58,7 +58,7 @@
 		default:
 			return permissionWait
 		}
-		if r.lostLately(state, s.settings.Policy.RepeatWindow) {
+		if r.lostLately(state, s.settings.Policy.ExchangeLifetime) {
 			lost++
 		}
 	}
--- a/core/reducer/refusal.go
+++ b/core/reducer/refusal.go
@@ -16,7 +16,7 @@
 func (r *Reducer) refuse(q *request, outcome Outcome, reason Reason) {
 	r.leave(q)
 	q.outcome, q.reason = outcome, reason
-	if outcome == OutcomeUnknown || !q.careful() {
+	if outcome == OutcomeUnknown || !q.nonIdempotent() {
 		r.conclude(q)
 		return
 	}
--- a/core/reducer/refusals_test.go
+++ b/core/reducer/refusals_test.go
@@ -14,7 +14,7 @@
 	tree := sicily()
 	tree.Services[0].Targets = []int{1}
 	tree.Services[1].Targets = []int{21}
-	tree.Defaults = []string{"repeatWindow: 12s", "slots: 1", "queueLength: 8"}
+	tree.Defaults = []string{"exchangeLifetime: 12s", "slots: 1", "queueLength: 8"}
 	return tree
 }
 
@@ -98,7 +98,7 @@
 // Cause: queues that are bounded by target only.
 func TestOneTenantCannotTakeAllPlaces(t *testing.T) {
 	tree := sicily()
-	tree.Defaults = []string{"repeatWindow: 10s", "slots: 2", "queueLength: 1000", "tenantInFlight: 20"}
+	tree.Defaults = []string{"exchangeLifetime: 10s", "slots: 2", "queueLength: 1000", "tenantInFlight: 20"}
 	f := newFleet(t, tree)
 	for _, n := range numbers(1, 14) {
 		f.Target(driver.TargetAddress(n)).Work = time.Second
@@ -124,7 +124,7 @@
 // Cause: deadlines that are looked at only when they pass.
 func TestWhatWouldBeLateIsRefusedAtOnce(t *testing.T) {
 	tree := tight()
-	tree.Defaults = []string{"repeatWindow: 12s", "slots: 1", "queueLength: 1000"}
+	tree.Defaults = []string{"exchangeLifetime: 12s", "slots: 1", "queueLength: 1000"}
 	f := newFleet(t, tree)
 	f.Target(driver.TargetAddress(1)).Work = 300 * time.Millisecond
 	for n := range 8 {
--- a/core/reducer/request.go
+++ b/core/reducer/request.go
@@ -78,11 +78,11 @@
 	heldBy string
 }
 
-func (q *request) careful() bool { return !q.packet.Flags.Has(messenger.FlagIdempotent) }
+func (q *request) nonIdempotent() bool { return !q.packet.Flags.Has(messenger.FlagIdempotent) }
 
 func (q *request) retriable() bool {
 	const pinned = messenger.FlagStream | messenger.FlagBlock
-	return !q.careful() && q.packet.Flags&pinned == 0
+	return !q.nonIdempotent() && q.packet.Flags&pinned == 0
 }
 
 type tokenKey struct {
@@ -116,7 +116,7 @@
 		r.hold(in, id, RefuseIsolated)
 		return
 	}
-	if needsCare(in) && !r.admitCareful(in, id, role) {
+	if isNonIdempotent(in) && !r.admitNonIdempotent(in, id, role) {
 		return
 	}
 	q := r.newRequest(in, id)
@@ -130,9 +130,9 @@
 	r.enqueue(q)
 }
 
-// admitCareful decides whether a request that may run only once may run here
+// admitNonIdempotent decides whether a request that may run only once may run here
 // and now. If not, it holds the packet or notes that it may have run before.
-func (r *Reducer) admitCareful(in *inbound, id uint64, role role) bool {
+func (r *Reducer) admitNonIdempotent(in *inbound, id uint64, role role) bool {
 	if r.identities.has(id) {
 		r.orphan(in, id)
 		return false
@@ -179,7 +179,7 @@
 		tried:          noTarget,
 		since:          r.now,
 		deadline:       r.now.Add(policy.RequestDeadline),
-		forgetDeadline: r.now.Add(policy.RepeatWindow),
+		forgetDeadline: r.now.Add(policy.ExchangeLifetime),
 		active:         true,
 	}
 	if in.packet.Deadline != 0 {
@@ -188,7 +188,7 @@
 	r.requests[id] = q
 	r.byToken[tokenOf(q.key, q.packet.Exchange)] = q
 	r.active = append(r.active, q)
-	if q.careful() {
+	if q.nonIdempotent() {
 		in.service.forget = append(in.service.forget, q)
 	}
 	return q
@@ -202,7 +202,7 @@
 			r.sendCaller(ToCaller{Caller: q.key.Caller(), Service: q.service.settings.Address, Payload: q.answer})
 			return
 		}
-		if q.careful() {
+		if q.nonIdempotent() {
 			r.reply(q, OutcomeUnknown, RefuseUncertain)
 			return
 		}
@@ -210,7 +210,7 @@
 	case stateRefused:
 		r.reply(q, q.outcome, q.reason)
 	case stateSent:
-		if !q.careful() {
+		if !q.nonIdempotent() {
 			r.resend(q, in)
 			return
 		}
--- a/core/reducer/route.go
+++ b/core/reducer/route.go
@@ -31,15 +31,15 @@
 const (
 	// roleOwner hosts keep the flow's records.
 	roleOwner role = iota + 1
-	// roleStandIn hosts act because the owner can't be reached. They serve what
+	// roleFallback hosts act because the owner can't be reached. They serve what
 	// may run twice, and nothing else.
-	roleStandIn
+	roleFallback
 	// roleForward hosts hand the packet on.
 	roleForward
 )
 
 // staleAfter bounds how long a packet may wait for a host to read it. Together
-// with the network's own bound it must stay below the repeat window.
+// with the network's own bound it must stay below the exchange lifetime.
 //
 // What goes wrong without it: a host is paused for longer than callers repeat
 // their requests. The datagram that waited in its socket comes out when nobody
@@ -136,22 +136,22 @@
 		r.deliver(in)
 		return
 	}
-	owner, role := r.ownerOf(placer.BucketOf(in.hash), needsCare(in))
+	owner, role := r.ownerOf(placer.BucketOf(in.hash), isNonIdempotent(in))
 	if role == roleForward {
 		if in.hops < maxHops {
 			r.forwardTo(owner, in)
 			return
 		}
-		if needsCare(in) {
+		if isNonIdempotent(in) {
 			r.count(DropHopLimit)
 			return
 		}
-		role = roleStandIn
+		role = roleFallback
 	}
 	if role == roleOwner {
 		r.count(CountOwned)
 	} else {
-		r.count(CountStandIn)
+		r.count(CountFallback)
 	}
 	r.act(in, role)
 }
@@ -166,9 +166,9 @@
 	return packet.Flags.Has(messenger.FlagStream) && !packet.Flags.Has(messenger.FlagPiggybacked)
 }
 
-// needsCare reports whether a packet must be handled by its flow's owner or by
+// isNonIdempotent reports whether a packet must be handled by its flow's owner or by
 // nobody: a request that may run only once.
-func needsCare(in *inbound) bool {
+func isNonIdempotent(in *inbound) bool {
 	return in.direction == messenger.DirectionToTarget &&
 		in.packet.Kind == messenger.KindRequest &&
 		!in.packet.Flags.Has(messenger.FlagIdempotent)
@@ -200,16 +200,16 @@
 }
 
 // ownerOf finds the host that owns a bucket: the first of the bucket's home
-// cell, in rank order, that takes part. Where care is not needed, a silent host
-// is passed over at once instead of being waited for.
-func (r *Reducer) ownerOf(bucket placer.Bucket, care bool) (string, role) {
+// cell, in rank order, that takes part. mustOwn is set for requests that only the
+// owner may run; for others a silent host is passed over at once.
+func (r *Reducer) ownerOf(bucket placer.Bucket, mustOwn bool) (string, role) {
 	order := r.rankers[r.cells.Home(bucket)].Rank(bucket)
 	for i, name := range order.Names() {
 		if name != r.self {
-			if r.takesPart(name, care) {
+			if r.takesPart(name, mustOwn) {
 				return name, roleForward
 			}
-			if via := r.wayAround(name, care); via != "" {
+			if via := r.relayToOwner(name, mustOwn); via != "" {
 				return via, roleForward
 			}
 			continue
@@ -221,21 +221,21 @@
 			return name, roleOwner
 		}
 	}
-	if care && r.detector.Phase() != messenger.PhaseLeft && r.cells.Home(bucket) == r.ownCell && !r.steppedDown {
+	if mustOwn && r.detector.Phase() != messenger.PhaseLeft && r.cells.Home(bucket) == r.ownCell && !r.steppedDown {
 		return r.self, roleOwner
 	}
-	return r.self, roleStandIn
+	return r.self, roleFallback
 }
 
-// wayAround returns the host through which a careful packet goes to an owner
-// that does not answer here although it may well own the flow.
-func (r *Reducer) wayAround(owner string, care bool) string {
+// relayToOwner returns the host through which a request that only the owner may
+// run goes to an owner that does not answer here although it may own the flow.
+func (r *Reducer) relayToOwner(owner string, mustOwn bool) string {
 	state := r.detector.State(owner)
 	unreachable := state.Liveness == messenger.LivenessDead && state.Phase == messenger.PhaseReady && state.Incarnation != 0
-	if !care || !unreachable || !r.detector.InCell(owner) || r.detector.Denied(owner) {
+	if !mustOwn || !unreachable || !r.detector.InCell(owner) || r.detector.Denied(owner) {
 		return ""
 	}
-	return r.detour(owner)
+	return r.relayTo(owner)
 }
 
 // below returns the first ready host of a rank order's rest.
@@ -249,12 +249,12 @@
 }
 
 // takesPart reports whether another host acts as an owner at present.
-func (r *Reducer) takesPart(name string, care bool) bool {
+func (r *Reducer) takesPart(name string, mustOwn bool) bool {
 	state := r.detector.State(name)
 	switch state.Liveness {
 	case messenger.LivenessAlive:
 	case messenger.LivenessSuspect:
-		if !care {
+		if !mustOwn {
 			return false
 		}
 	case messenger.LivenessUnknown, messenger.LivenessDead:
--- a/core/reducer/stats.go
+++ b/core/reducer/stats.go
@@ -27,7 +27,7 @@
 	RefuseIsolated
 	CountForwarded
 	CountOwned
-	CountStandIn
+	CountFallback
 	CountRetry
 	CountMoved
 	CountExceptions
@@ -59,7 +59,7 @@
 	RefuseIsolated:     "refuseIsolated",
 	CountForwarded:     "forwarded",
 	CountOwned:         "owned",
-	CountStandIn:       "standIn",
+	CountFallback:      "fallback",
 	CountRetry:         "retries",
 	CountMoved:         "flowsMoved",
 	CountExceptions:    "exceptionsSent",
--- a/core/reducer/witness.go
+++ b/core/reducer/witness.go
@@ -133,14 +133,14 @@
 	}
 	link.resendDeadline = r.now.Add(witnessResendAfter)
 	body := &messenger.Witness{Sequence: link.sequence, Identities: ids}
-	if via := r.detour(peer); via != "" {
+	if via := r.relayTo(peer); via != "" {
 		body.Owner, body.For = r.self, peer
 		peer = via
 	}
 	r.sendPeer(peer, body)
 }
 
-// detour returns a host of the cell through which a peer may be reached that
+// relayTo returns a host of the cell through which a peer may be reached that
 // does not answer here, though no quorum has given it up; empty where the direct
 // link is good or nobody else is there.
 //
@@ -148,7 +148,7 @@
 // a successor that lives and that it can't reach, and every check between the
 // two is refused. One notices by refusals for a part of all callers while every
 // host is well.
-func (r *Reducer) detour(peer string) string {
+func (r *Reducer) relayTo(peer string) string {
 	if r.detector.State(peer).Liveness == messenger.LivenessAlive {
 		return ""
 	}
@@ -174,7 +174,7 @@
 	if r.settings == nil || (isJoining(r.detector.State(r.self)) && !r.joining.hasRecordsOf(owner)) {
 		return
 	}
-	deadline := r.now.Add(r.repeatWindow())
+	deadline := r.now.Add(r.exchangeLifetime())
 	for _, id := range body.Identities {
 		r.identities.add(id, deadline)
 	}
--- a/core/resolver/policy.go
+++ b/core/resolver/policy.go
@@ -53,9 +53,9 @@
 type Policy struct {
 	// RequestDeadline bounds a request that carries no deadline of its own.
 	RequestDeadline time.Duration
-	// RepeatWindow is the longest time over which a caller repeats one request
+	// ExchangeLifetime is the longest time over which a caller repeats one request
 	// with the same message ID, plus the time a datagram may spend in the network.
-	RepeatWindow time.Duration
+	ExchangeLifetime time.Duration
 	// FlowMemory is how long an idle flow stays on its target.
 	FlowMemory time.Duration
 	// WarmUp is how long a target that is new takes to reach its full share.
@@ -84,19 +84,19 @@
 // DefaultPolicy is in force where the tree says nothing.
 func DefaultPolicy() Policy {
 	return Policy{
-		RequestDeadline: 5 * time.Second,
-		RepeatWindow:    60 * time.Second,
-		FlowMemory:      10 * time.Minute,
-		WarmUp:          10 * time.Second,
-		TenantInFlight:  10_000,
-		QueueLength:     64,
-		RetryShare:      0.1,
-		MaxEjectedShare: 0.5,
-		Priority:        PriorityNormal,
-		Weight:          100,
-		Slots:           3,
-		Connections:     2000,
-		State:           TargetActive,
+		RequestDeadline:  5 * time.Second,
+		ExchangeLifetime: 60 * time.Second,
+		FlowMemory:       10 * time.Minute,
+		WarmUp:           10 * time.Second,
+		TenantInFlight:   10_000,
+		QueueLength:      64,
+		RetryShare:       0.1,
+		MaxEjectedShare:  0.5,
+		Priority:         PriorityNormal,
+		Weight:           100,
+		Slots:            3,
+		Connections:      2000,
+		State:            TargetActive,
 	}
 }
 
@@ -114,7 +114,7 @@
 // explain prints them.
 var policyFields = []field{
 	durationField("requestDeadline", time.Millisecond, 10*time.Minute, func(p *Policy) *time.Duration { return &p.RequestDeadline }),
-	durationField("repeatWindow", time.Second, 10*time.Minute, func(p *Policy) *time.Duration { return &p.RepeatWindow }),
+	durationField("exchangeLifetime", time.Second, 10*time.Minute, func(p *Policy) *time.Duration { return &p.ExchangeLifetime }),
 	durationField("flowMemory", time.Second, 24*time.Hour, func(p *Policy) *time.Duration { return &p.FlowMemory }),
 	durationField("warmUp", 0, time.Hour, func(p *Policy) *time.Duration { return &p.WarmUp }),
 	intField("tenantInFlight", 1, 1_000_000, "", func(p *Policy) *int { return &p.TenantInFlight }),
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -61,7 +61,7 @@
 }
 
 // answerToEarlier' 'TestLateAnswerDoesNotReachThePortsNextUser|TestLateAnswerDoesNotMeetALaterRequest'
-without "held identities of refusals" reducer/refusal.go 'if outcome == OutcomeUnknown || !q.careful() {' 'if true {' 'TestRefusedAsNotRunDidNotRun|TestTwoSidesOfAPartitionRunOnce'
+without "held identities of refusals" reducer/refusal.go 'if outcome == OutcomeUnknown || !q.nonIdempotent() {' 'if true {' 'TestRefusedAsNotRunDidNotRun|TestTwoSidesOfAPartitionRunOnce'
 without "held identities of requests" reducer/witness.go 'if successor == "" {
 		r.count' 'if true {
 		r.count' TestRepeatAfterTheOwnerDiedRunsOnce
@@ -82,7 +82,7 @@
 		r.end()' 'if true {
 		r.end()' TestGracefulShutdownCutsNothing
 without "votes that are left behind" reducer/handover.go 'chunk.Votes, chunk.Denied = r.detector.GiveVotes(to, h.leaving)' 'r.detector.GiveVotes(to, h.leaving)' TestGracefulShutdownCutsNothing
-without "votes that count at once" detector/trust.go 'return !t.refuses(d.self, d.incarnation)' 'return t.deniesFrom.Passed(d.now)' TestRollingReplacementRefusesNothing
+without "votes that count at once" detector/votes.go 'return !v.refuses(d.self, d.incarnation)' 'return v.deniesFrom.Passed(d.now)' TestRollingReplacementRefusesNothing
 without "the way around a broken link" reducer/witness.go 'if r.detector.State(peer).Liveness == messenger.LivenessAlive {' 'if true {' TestOneBrokenLinkInACellRefusesNothing
 without "the limit of a tenant" reducer/dispatch.go 'if r.tenantLoad[tenant] >= policy.TenantInFlight {' 'if r.tenantLoad[tenant] < 0 {' TestOneTenantCannotTakeAllPlaces
 without "shedding what would be late" reducer/dispatch.go 'case r.now.Add(t.expectedWait(r.now)) >= q.deadline:' 'case false:' TestWhatWouldBeLateIsRefusedAtOnce
--- a/scripts/throughput.sh
+++ b/scripts/throughput.sh
@@ -11,7 +11,7 @@
 cat >"$tree" <<TREE
 version: 1
 peerKeys: [a-key-for-measuring]
-defaults: {repeatWindow: 1s, slots: 1000, queueLength: 1000}
+defaults: {exchangeLifetime: 1s, slots: 1000, queueLength: 1000}
 regions:
   one:
     returnPrefix: fd00:9::/64
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -46,7 +46,7 @@
 	echo "$name: process ${pids[-1]}, admin 127.0.0.1:$port"
 done < <(sed -nE 's/^ +([a-z0-9-]+): \{address: ([0-9.:]+), fabricAddress: ([0-9.:]+).*/\1 \2 \3/p' "$settings")
 
-echo "waiting until ${#admins[@]} hosts are ready; a cell that starts from nothing first outwaits repeatWindow"
+echo "waiting until ${#admins[@]} hosts are ready; a cell that starts from nothing first outwaits exchangeLifetime"
 for admin in "${admins[@]}"; do
 	tries=0
 	until curl --silent --fail "http://$admin/readyz" >/dev/null; do
--- a/standin/internal/measurer/measurer.go
+++ b/standin/internal/measurer/measurer.go
@@ -50,7 +50,7 @@
 
 // LargeTree is a tree with so many targets behind so many services.
 func LargeTree(hosts, targets, services int) driver.Tree {
-	tree := driver.Tree{Defaults: []string{"repeatWindow: 2s"}}
+	tree := driver.Tree{Defaults: []string{"exchangeLifetime: 2s"}}
 	for zone := range TargetZones {
 		n := (hosts + TargetZones - 1 - zone) / TargetZones
 		tree.Zones = append(tree.Zones, n)
@@ -187,7 +187,7 @@
 
 // Flows measures one size.
 func Flows(flows int) FlowPoint {
-	tree := driver.Tree{Zones: []int{1}, Services: []driver.TreeService{{Targets: []int{1, 2, 3, 4}, Address: 1}}, Defaults: []string{"repeatWindow: 1s"}}
+	tree := driver.Tree{Zones: []int{1}, Services: []driver.TreeService{{Targets: []int{1, 2, 3, 4}, Address: 1}}, Defaults: []string{"exchangeLifetime: 1s"}}
 	now := timekeeper.Instant(time.Second)
 	host := reducer.New(reducer.Config{Self: "a1", Incarnation: 1, Seed: 1, Timing: detector.DefaultTiming(), Start: now})
 	host.Reduce(&reducer.SettingsPublished{At: now, Revision: 1, Document: tree.Document()})
@@ -240,7 +240,7 @@
 
 // Handover measures one size, in a cell of three hosts.
 func Handover(flows int) HandoverPoint {
-	tree := driver.Tree{Zones: []int{3}, Services: []driver.TreeService{{Targets: []int{1, 2, 3, 4}, Address: 1}}, Defaults: []string{"repeatWindow: 1s"}}
+	tree := driver.Tree{Zones: []int{3}, Services: []driver.TreeService{{Targets: []int{1, 2, 3, 4}, Address: 1}}, Defaults: []string{"exchangeLifetime: 1s"}}
 	f := driver.New(1, tree.Document())
 	f.Start(tree.HostNames()...)
 	f.Step(5 * time.Second)
@@ -274,7 +274,7 @@
 
 // Requests measures one rate, over a cell of three hosts.
 func Requests(aSecond int) RequestPoint {
-	tree := driver.Tree{Zones: []int{3}, Services: []driver.TreeService{{Targets: []int{1, 2, 3, 4}, Address: 1}}, Defaults: []string{"repeatWindow: 1s", "slots: 10000"}}
+	tree := driver.Tree{Zones: []int{3}, Services: []driver.TreeService{{Targets: []int{1, 2, 3, 4}, Address: 1}}, Defaults: []string{"exchangeLifetime: 1s", "slots: 10000"}}
 	f := driver.New(1, tree.Document())
 	f.Start(tree.HostNames()...)
 	f.Step(5 * time.Second)
--- a/standin/internal/measurer/page.go
+++ b/standin/internal/measurer/page.go
@@ -37,7 +37,7 @@
 		m.Handovers = append(m.Handovers, Handover(flows))
 	}
 	for _, rate := range []int{50, 200, 1000} {
-		progress(fmt.Sprintf("%d careful requests a second", rate))
+		progress(fmt.Sprintf("%d non-idempotent requests a second", rate))
 		m.Requests = append(m.Requests, Requests(rate))
 	}
 	return m
--- a/standin/system_test.go
+++ b/standin/system_test.go
@@ -124,7 +124,7 @@
 // document writes the tree: ledger with six targets, intake with two.
 func (s *system) document(draining ...string) []byte {
 	var b strings.Builder
-	b.WriteString("version: 1\npeerKeys: [a-key-for-these-tests]\ndefaults: {repeatWindow: 9s, slots: 8}\nregions:\n  r:\n    returnPrefix: fd00:1::/64\n    availabilityZones:\n")
+	b.WriteString("version: 1\npeerKeys: [a-key-for-these-tests]\ndefaults: {exchangeLifetime: 9s, slots: 8}\nregions:\n  r:\n    returnPrefix: fd00:1::/64\n    availabilityZones:\n")
 	n := 10
 	for zone, hosts := range map[string]int{"a": 3, "b": 2} {
 		fmt.Fprintf(&b, "      %s:\n        hosts:\n", zone)
