--- a/balancer/internal/configurer/configurer_test.go
+++ b/balancer/internal/configurer/configurer_test.go
@@ -45,9 +45,9 @@
 	require.Equal(t, "from-flag", text.Name)
 	require.Equal(t, "127.0.0.1:1", text.Admin)
 
-	require.NoError(t, os.WriteFile(path, []byte("nmae: typo\n"), 0o600))
+	require.NoError(t, os.WriteFile(path, []byte("unheardOf: typo\n"), 0o600))
 	_, err = configurer.ReadFile(path)
-	require.ErrorContains(t, err, "nmae")
+	require.ErrorContains(t, err, "unheardOf")
 	_, err = configurer.ReadFile(filepath.Join(t.TempDir(), "missing"))
 	require.Error(t, err)
 }
--- a/core/driver/driver.go
+++ b/core/driver/driver.go
@@ -62,7 +62,6 @@
 	// Messages counts control messages, Probes probes of targets.
 	Messages int
 	Probes   int
-	ByKind   map[string]int
 	// Measure makes the fleet encode control messages to count their bytes.
 	Measure bool
 	sealers map[string]*encoder.Sealer
