--- a/core/detector/rumors.go
+++ b/core/detector/rumors.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/timekeeper"
@@ -120,7 +119,8 @@
 			return
 		}
 	}
-	d.rumors = append(d.rumors, spreading{host: host, left: times})
+	// What is new is told first.
+	d.rumors = slices.Insert(d.rumors, 0, spreading{host: host, left: times})
 }
 
 // news writes what rides on a heartbeat to a peer.
@@ -171,26 +171,21 @@
 	return view
 }
 
-// nextRumors picks the rumors that were told least, and counts them as told.
+// nextRumors takes the rumors whose turn it is, and counts them as told.
 func (d *Detector) nextRumors() []messenger.Rumor {
 	const most = 6
-	slices.SortStableFunc(d.rumors, func(a, b spreading) int {
-		if a.left != b.left {
-			return b.left - a.left
-		}
-		return strings.Compare(a.host, b.host)
-	})
+	n := min(most, len(d.rumors))
 	var rumors []messenger.Rumor
-	for i := range d.rumors {
-		if len(rumors) == most {
-			break
-		}
-		d.rumors[i].left--
-		if r, ok := d.rumorOf(d.rumors[i].host); ok {
+	for _, told := range d.rumors[:n] {
+		told.left--
+		if r, ok := d.rumorOf(told.host); ok {
 			rumors = append(rumors, r)
 		}
+		if told.left > 0 {
+			d.rumors = append(d.rumors, told)
+		}
 	}
-	d.rumors = slices.DeleteFunc(d.rumors, func(s spreading) bool { return s.left <= 0 })
+	d.rumors = slices.Delete(d.rumors, 0, n)
 	return rumors
 }
 
