--- a/core/reducer/once_test.go
+++ b/core/reducer/once_test.go
@@ -236,30 +236,35 @@
 // found by the fuzz.
 // Cause: a host that left is not the same as a host that handed over to us.
 func TestLastHostDoesNotActOnRecordsItNeverGot(t *testing.T) {
-	for ticks := range 5 {
-		t.Run(fmt.Sprint(ticks), func(t *testing.T) {
-			f := newFleet(t, sicily())
-			for _, n := range numbers(1, 14) {
-				f.Target(driver.TargetAddress(n)).Work = 1200 * time.Millisecond
-			}
-			const flows = 150
-			for n := range flows {
-				f.Call("", call(n, 1, 1), request(openWrite))
-			}
-			f.Step(500 * time.Millisecond)
-			f.Shutdown("a1")
-			f.Step(100 * time.Millisecond)
-			f.Shutdown("a2")
-			f.Step(time.Duration(ticks) * reducerTick)
-			f.Shutdown("a3")
-			for range 20 {
-				for n := range flows {
-					f.Call("", call(n, 1, 1), request(openWrite))
+	orders := [][]string{{"a1", "a2", "a3"}, {"a1", "a3", "a2"}, {"a2", "a1", "a3"}, {"a2", "a3", "a1"}, {"a3", "a1", "a2"}, {"a3", "a2", "a1"}}
+	for _, order := range orders {
+		for ticks := range 3 {
+			t.Run(fmt.Sprint(order, ticks), func(t *testing.T) {
+				f := newFleet(t, sicily())
+				for _, n := range numbers(1, 14) {
+					f.Target(driver.TargetAddress(n)).Work = 1500 * time.Millisecond
 				}
+				ask := func(numbers int) {
+					for number := 1; number <= numbers; number++ {
+						for n := range 60 {
+							f.Call("", call(n, 1, number), request(openWrite))
+						}
+					}
+				}
+				ask(1)
 				f.Step(100 * time.Millisecond)
-			}
-			requireAtMostOnce(t, f)
-		})
+				for i, name := range order {
+					f.Shutdown(name)
+					ask(i + 2)
+					f.Step(time.Duration(ticks) * reducerTick)
+				}
+				for range 40 {
+					ask(4)
+					f.Step(50 * time.Millisecond)
+				}
+				requireAtMostOnce(t, f)
+			})
+		}
 	}
 }
 
