An upload follows the target at which it began

Cause: read in the code: a flow whose stream sits on a draining target sent a new upload's first block to another target and the later ones to the old one. Change: the flow remembers where its transfer began; handovers carry it. Measured: TestUploadBegunWhileTheStreamsTargetDrains red before, green after.

--- a/core/messenger/message.go
+++ b/core/messenger/message.go
@@ -211,6 +211,11 @@
 	Target netip.AddrPort
 	// Long marks streams and uploads.
 	Long bool
+	// Other is where the flow's new work goes while Target only keeps what began
+	// there; invalid where that is Target. Moved says that the transfer in blocks
+	// that is under way is there too.
+	Other netip.AddrPort
+	Moved bool
 }
 
 // FlowRecords tells a successor about flows that are not where a newcomer
--- a/core/reducer/flow.go
+++ b/core/reducer/flow.go
@@ -31,6 +31,8 @@
 	flowLong flowFlags = 1 << iota
 	// flowException marks a flow that is not where the current table puts it.
 	flowException
+	// flowMoved marks a flow whose transfer in blocks began at its other target.
+	flowMoved
 	// flowCopied marks an exception that the successor has been told of.
 	flowCopied
 )
--- a/core/reducer/flows_test.go
+++ b/core/reducer/flows_test.go
@@ -197,3 +197,44 @@
 	require.Zero(t, moved)
 	require.GreaterOrEqual(t, reached, 90)
 }
+
+// Symptom: an upload is cut in its middle, on a flow that also has a stream.
+// Sequence: the stream's target drains; an upload begins on the flow, at another
+// target; its next blocks follow, also after the owner was replaced.
+// Cause: one target remembered for two kinds of work.
+func TestUploadBegunWhileTheStreamsTargetDrains(t *testing.T) {
+	drained := sicily()
+	drained.Services[0].Draining = numbers(1, 7)
+	f := newFleet(t, sicily())
+	const flows = 60
+	for n := range flows {
+		f.Call("", call(n, 1, 1), request(openRead|isStream))
+	}
+	f.Step(200 * time.Millisecond)
+	f.Publish(drained.Document())
+	f.Step(2 * time.Second)
+	for n := range flows {
+		f.Call("", call(n, 1, 2), request(openRead|isBlock))
+	}
+	f.Step(200 * time.Millisecond)
+	blocks := func(number int) {
+		for n := range flows {
+			f.Call("", call(n, 1, number), request(repeats|isBlock))
+		}
+		f.Step(200 * time.Millisecond)
+		for n := range flows {
+			require.Equal(t, targetOf(t, f, call(n, 1, 2)), targetOf(t, f, call(n, 1, number)), "caller %d", n)
+		}
+	}
+	blocks(3)
+	f.Shutdown("a1")
+	require.True(t, f.StepUntil(10*time.Second, func() bool { return f.Ended("a1") }))
+	blocks(4)
+	for n := range flows {
+		f.Call("", call(n, 1, 5), control())
+	}
+	f.Step(200 * time.Millisecond)
+	for n := range flows {
+		require.Contains(t, targetsOf(f, call(n, 1, 5)), targetOf(t, f, call(n, 1, 1)), "the stream's acknowledgements still reach it")
+	}
+}
--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -114,8 +114,13 @@
 func (r *Reducer) recordOf(key resolver.FlowKey, f flow) messenger.FlowRecord {
 	s := r.services[key.Service()]
 	record := messenger.FlowRecord{Key: key, Long: f.flags&flowLong != 0}
-	if s != nil {
-		record.Target = s.registry[f.target].address
+	if s == nil {
+		return record
+	}
+	record.Target = s.registry[f.target].address
+	if f.other != noTarget {
+		record.Other = s.registry[f.other].address
+		record.Moved = f.flags&flowMoved != 0
 	}
 	return record
 }
@@ -335,6 +340,12 @@
 		if record.Long {
 			f.flags |= flowLong
 		}
+		if other, ok := s.byAddr[record.Other]; ok {
+			f.other = other
+			if record.Moved {
+				f.flags |= flowMoved
+			}
+		}
 		r.markException(s, hash, &f)
 		if copied {
 			f.flags |= flowCopied
--- a/core/reducer/pinning.go
+++ b/core/reducer/pinning.go
@@ -16,11 +16,17 @@
 	t := s.registry[f.target]
 	continues := !flags.Has(messenger.FlagOpens) || (f.flags&flowLong != 0 && flags.Has(messenger.FlagStream))
 	ejected := s.eject(r.now)
+	if !flags.Has(messenger.FlagOpens) && flags.Has(messenger.FlagBlock) && f.flags&flowMoved != 0 && s.registry[f.other].present {
+		r.touch(in, f)
+		return f.other, true
+	}
 	if t.present && (continues || (t.policy.State == resolver.TargetActive && !ejected[f.target])) {
+		r.noteTransfer(in, &f, false)
 		r.touchLong(in, f)
 		return f.target, true
 	}
 	if f.other != noTarget && s.registry[f.other].usable(r.now) && !ejected[f.other] {
+		r.noteTransfer(in, &f, true)
 		r.touch(in, f)
 		return f.other, true
 	}
@@ -33,6 +39,7 @@
 		// The target drains: it keeps the flow's streams and uploads, and the
 		// flow's new work goes elsewhere.
 		f.other = at
+		r.noteTransfer(in, &f, true)
 	} else {
 		f = flow{target: at, other: noTarget}
 	}
@@ -42,6 +49,17 @@
 	return at, true
 }
 
+// noteTransfer remembers at which of a flow's targets a transfer in blocks
+// begins, so that its later blocks follow it.
+func (r *Reducer) noteTransfer(in *inbound, f *flow, moved bool) {
+	const begins = messenger.FlagOpens | messenger.FlagBlock
+	if !in.packet.Flags.Has(begins) || moved == (f.flags&flowMoved != 0) {
+		return
+	}
+	f.flags ^= flowMoved
+	f.seen = 0
+}
+
 // touchLong is touch, and marks flows that carry streams or uploads.
 func (r *Reducer) touchLong(in *inbound, f flow) {
 	if in.packet.Flags&(messenger.FlagStream|messenger.FlagBlock) != 0 && f.flags&flowLong == 0 {
