An address that moves twice rests twice

Cause: read in the code: the record of an address's last service was made at its first move only. Measured: TestAddressThatMovesTwiceRestsTwice red before (0 s of rest), green after (18 s).

--- a/core/reducer/services_test.go
+++ b/core/reducer/services_test.go
@@ -118,3 +118,30 @@
 	f.Step(100 * time.Millisecond)
 	require.Len(t, f.Answers, before)
 }
+
+// Symptom: a packet of one service reaches another's target, at the second move.
+// Sequence: an address moves from intake to ledger and, long after, back.
+// Cause: a rest that is kept for the first move only.
+func TestAddressThatMovesTwiceRestsTwice(t *testing.T) {
+	moved := sicily()
+	moved.Services[0].Targets = append(numbers(1, 14), 24)
+	moved.Services[1].Targets = numbers(21, 23)
+	f := newFleet(t, sicily())
+	f.Publish(moved.Document())
+	f.Step(40 * time.Second)
+	f.Publish(sicily().Document())
+	back := f.Now
+	for range 25 {
+		load(f, 20)
+		f.Step(time.Second)
+	}
+	given := 0
+	for _, p := range f.Sent {
+		if p.Target != driver.TargetAddress(24) || p.At < back || p.ID.Service != driver.ServiceAddress(2) {
+			continue
+		}
+		given++
+		require.Greater(t, p.At, back.Add(17*time.Second))
+	}
+	require.Positive(t, given, "it serves again after its rest")
+}
--- a/core/reducer/target.go
+++ b/core/reducer/target.go
@@ -218,15 +218,21 @@
 func (r *Reducer) restDeadline(address netip.AddrPort, id resolver.ServiceID) timekeeper.Instant {
 	use, ok := r.lastUse[address]
 	if ok && use.service != id {
+		use.next = id
+		r.lastUse[address] = use
 		return use.deadline
 	}
 	r.lastUse[address] = addressUse{service: id, deadline: timekeeper.Never}
 	return 0
 }
 
+// addressUse is the service that used an address last. deadline is when it has
+// rested since; Never while the service uses it. next is the service that uses it
+// from then on, if any.
 type addressUse struct {
 	service  resolver.ServiceID
 	deadline timekeeper.Instant
+	next     resolver.ServiceID
 }
 
 // releaseAddresses notes, before a revision comes into force, which addresses
@@ -239,6 +245,10 @@
 		}
 	}
 	for address, use := range r.lastUse {
+		if use.next != 0 && use.deadline.Passed(now) {
+			use = addressUse{service: use.next, deadline: timekeeper.Never}
+			r.lastUse[address] = use
+		}
 		id, still := used[address]
 		switch {
 		case use.deadline == timekeeper.Never && (!still || id != use.service):
