--- a/core/reducer/fixture_test.go
+++ b/core/reducer/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"os/exec"
 	"slices"
 	"strings"
 	"testing"
@@ -155,3 +156,12 @@
 	}
 	return b.String()
 }
+
+// A foreign harness links the decisions without the rest of the daemon.
+func TestDecisionsImportNoNetwork(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	require.NoError(t, err)
+	for _, path := range strings.Fields(string(out)) {
+		require.NotContains(t, []string{"net", "net/http", "os/exec", "go.uber.org/zap", "github.com/uber-go/tally/v4"}, path)
+	}
+}
--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -136,8 +136,11 @@
 	return ids
 }
 
-// journalFlow adds a flow that began during a handover to the handover.
+// journalFlow adds a flow that began or moved during a handover to the handover.
 func (r *Reducer) journalFlow(key resolver.FlowKey, hash uint64, f flow) {
+	if len(r.handovers) == 0 {
+		return
+	}
 	for _, name := range r.detector.Cell() {
 		if h := r.handovers[name]; h != nil && !h.doneSent && r.nextOwnerIs(name, hash) {
 			h.flows = append(h.flows, r.recordOf(key, f))
--- a/core/reducer/pinning.go
+++ b/core/reducer/pinning.go
@@ -86,7 +86,6 @@
 	f := flow{target: at, other: noTarget}
 	r.markException(in.service, in.hash, &f)
 	r.touchLong(in, f)
-	r.journalFlow(in.key, in.hash, f)
 	return at, true
 }
 
--- a/core/reducer/route.go
+++ b/core/reducer/route.go
@@ -334,4 +334,5 @@
 	}
 	f.seen = max(now, 1)
 	r.flows.put(in.key, in.hash, f)
+	r.journalFlow(in.key, in.hash, f)
 }
