A host that was given up gets no vote

Cause: read in the code: since views that a peer knows are no longer repeated, an answer to a host that was given up carried votes without the word that it was; only the host's own new incarnation kept it from counting them. Change: votes are withheld from a host that was given up. Measured: TestHostThatWasGivenUpGetsNoVote red before, green after.

--- a/core/detector/detector_test.go
+++ b/core/detector/detector_test.go
@@ -121,6 +121,21 @@
 	require.False(t, n.nodes["a1"].Denied("a2"), "its new incarnation is welcome")
 }
 
+// Symptom: a host that was given up goes on with a vote of who gave it up.
+// Sequence: a host sleeps, is given up, and its ping from before comes late.
+// Cause: an answer that is a vote whatever the voter believes.
+func TestHostThatWasGivenUpGetsNoVote(t *testing.T) {
+	n := newNetwork(map[string]int{"a": 3})
+	n.step(3 * time.Second)
+	n.step(5*time.Second, "a2")
+	require.True(t, n.nodes["a1"].Denied("a2"))
+	n.nodes["a1"].Receive("a2", &messenger.Ping{Sequence: 7, News: messenger.News{Incarnation: 10, Phase: messenger.PhaseReady}}, n.now)
+	out := n.nodes["a1"].Take()
+	require.Len(t, out, 1)
+	require.Empty(t, out[0].Body.(*messenger.Ack).News.Votes)
+	require.NotEmpty(t, out[0].Body.(*messenger.Ack).News.Withheld)
+}
+
 // Symptom: hosts of another zone are believed dead for ever after a cut heals.
 // Sequence: a zone is cut off and comes back. Cause: nobody refutes the rumor.
 func TestZoneComesBackAfterACut(t *testing.T) {
--- a/core/detector/votes.go
+++ b/core/detector/votes.go
@@ -27,16 +27,17 @@
 // and withholds, and those that can't give anybody up yet.
 func (d *Detector) votesFor(peer *member) (cast, withheld, unsettled []string) {
 	for _, name := range d.cell.names {
-		t, ok := d.held[name]
+		v, ok := d.held[name]
 		if !ok {
 			continue
 		}
-		if !votes(d.phase) || t.refuses(peer.host.Name, peer.incarnation) {
+		gaveUp := peer.liveness == messenger.LivenessDead
+		if !votes(d.phase) || gaveUp || v.refuses(peer.host.Name, peer.incarnation) {
 			withheld = append(withheld, name)
 			continue
 		}
 		cast = append(cast, name)
-		if !t.deniesFrom.Passed(d.now) {
+		if !v.deniesFrom.Passed(d.now) {
 			unsettled = append(unsettled, name)
 		}
 	}
--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -18,23 +18,29 @@
 	// copyBytesPerSecond is the budget for telling successors of exceptions.
 	copyBytesPerSecond = 2048
 	// flowRecordBytes is what a FlowRecord takes in a message.
-	flowRecordBytes = 20
+	flowRecordBytes = 24
 	// lingerSpan is how long a host that has left still passes packets on.
 	lingerSpan = time.Second
 )
 
 // handoverOut is the records on their way to one host.
 type handoverOut struct {
+	// incarnation is that of the host that joins, or of this one if it leaves.
 	incarnation uint64
 	leaving     bool
-	session     uint64
-	sequence    uint64
-	flows       []messenger.FlowRecord
-	identities  []uint64
-	last        *messenger.Handover
-	doneSent    bool
-	acked       bool
-	resend      timekeeper.Instant
+	// session tells this handover from earlier ones, sequence its chunks.
+	session  uint64
+	sequence uint64
+	// flows and identities are still to be sent.
+	flows      []messenger.FlowRecord
+	identities []uint64
+	// last is the chunk that is not acknowledged yet.
+	last *messenger.Handover
+	// doneSent says that the last part is under way, acked that it was taken in.
+	doneSent bool
+	acked    bool
+	// resend is when last is sent again.
+	resend timekeeper.Instant
 }
 
 // handoverTick starts handovers to hosts that join, and sends the next chunks.
