Trial state: longer hold, repeats of handed-over reads go on; loader tells of problems

TestRollingReplacement on real processes is red about every second run: uploads in blocks get 'unknown' (refuseUnanswered) or 4.08.

--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -379,7 +379,14 @@
 		Deadline: r.now.Add(max(record.Remaining, time.Millisecond)),
 	}
 	in := inbound{key: record.Key, hash: placer.Hash(record.Key), service: s, packet: &packet}
-	r.newRequest(&in, id).state = stateOrphan
+	q := r.newRequest(&in, id)
+	q.state = stateOrphan
+	if at, ok := s.byAddr[record.Target]; ok && !q.nonIdempotent() {
+		// A repeat of it goes to the same target again: the answer may be lost.
+		q.state = stateSent
+		q.target = at
+		q.attemptDeadline = timekeeper.Never
+	}
 }
 
 func (r *Reducer) handoverAcked(from string, body *messenger.HandoverAck) {
--- a/core/reducer/hold.go
+++ b/core/reducer/hold.go
@@ -51,7 +51,7 @@
 		return r.isolated()
 	default:
 	}
-	return r.joining.over && r.powerless != timekeeper.Never && r.powerless.Add(holdSpan).Passed(r.now)
+	return r.joining.over && r.powerless != timekeeper.Never && r.powerless.Add(hopelessSpan).Passed(r.now)
 }
 
 func (r *Reducer) refuseHeld(h *heldPacket) {
--- a/core/reducer/isolation.go
+++ b/core/reducer/isolation.go
@@ -75,5 +75,5 @@
 // for it is of no use.
 func (r *Reducer) isolated() bool {
 	since := r.isolation.since
-	return !r.mayOpen() && since != timekeeper.Never && since.Add(holdSpan).Passed(r.now)
+	return !r.mayOpen() && since != timekeeper.Never && since.Add(hopelessSpan).Passed(r.now)
 }
--- a/core/reducer/request.go
+++ b/core/reducer/request.go
@@ -19,8 +19,13 @@
 	maxKeptAnswer = 1024
 	// maxHeld bounds the packets that wait for this host's permission.
 	maxHeld = 4096
-	// holdSpan is how long a packet waits for permission at most.
-	holdSpan = 2 * time.Second
+	// holdSpan is how long a packet waits for permission at most. A host that has
+	// just got an owner's records waits a lease before it acts, on top of what its
+	// joining takes; the packets that come meanwhile must outlast that.
+	holdSpan = 4 * time.Second
+	// hopelessSpan is how long a host may lack what it needs before it refuses at
+	// once instead of holding.
+	hopelessSpan = 2 * time.Second
 	// refuseSpan is how long a refusal waits until the successor knows of it.
 	refuseSpan = 500 * time.Millisecond
 	// sendSpan is how long a decision to send stays good: far less than a
--- a/standin/internal/loader/loader.go
+++ b/standin/internal/loader/loader.go
@@ -222,11 +222,13 @@
 	began := time.Now()
 	var last message.Message
 	var err error
+	sent := 0
 	for block := range l.config.UploadBlocks {
 		payload := make([]byte, blockBytes)
 		if block == 0 {
 			copy(payload, id+"\n")
 		}
+		sent = block
 		more := block < l.config.UploadBlocks-1
 		last, err = c.do(ctx, request{code: codes.POST, path: "/upload", payload: payload, observe: noObserve, blocks: true, block: int64(block), more: more})
 		if err != nil || (more && last.Code != codes.Continue) {
@@ -234,6 +236,7 @@
 		}
 	}
 	whole := fmt.Sprintf(" %s %d", id, l.config.UploadBlocks*blockBytes)
+	broken := false
 	l.recorder.add(KindUpload, func(t *Tally) {
 		switch {
 		case err == nil && last.Code == codes.Changed && strings.HasSuffix(string(last.Payload), whole):
@@ -244,8 +247,12 @@
 			t.Unknown++
 		default:
 			t.Broken++
+			broken = true
 		}
 	})
+	if broken || (err == nil && last.Code == codes.GatewayTimeout) {
+		l.recorder.problem("upload %s: block %d: code %v, %q, error %v", id, sent, last.Code, last.Payload, err)
+	}
 	l.recorder.latency(KindUpload, time.Since(began))
 }
 
@@ -334,7 +341,7 @@
 
 // report adds what the targets counted to what the callers saw.
 func (l *Loader) report(ctx context.Context) (Report, error) {
-	report := Report{Tallies: l.recorder.snapshot(), Imbalance: map[string]Imbalance{}}
+	report := Report{Tallies: l.recorder.snapshot(), Imbalance: map[string]Imbalance{}, Problems: l.recorder.problems}
 	runs := map[string]int{}
 	for _, control := range l.config.Targets {
 		r, err := readTargets(ctx, control)
--- a/standin/internal/loader/report.go
+++ b/standin/internal/loader/report.go
@@ -51,6 +51,8 @@
 // Report is the result of a run.
 type Report struct {
 	Tallies map[Kind]Tally `json:"tallies"`
+	// Problems tells of the first few flows that broke.
+	Problems []string `json:"problems"`
 	// Doubled and Misrouted come from the targets.
 	Doubled   []string `json:"doubled"`
 	Misrouted []string `json:"misrouted"`
@@ -119,6 +121,9 @@
 	for _, name := range names {
 		fmt.Fprintf(&b, "imbalance of %s: max over mean %.3f, coefficient of variation %.3f\n", name, r.Imbalance[name].MaxOverMean, r.Imbalance[name].Variation)
 	}
+	for _, problem := range r.Problems {
+		fmt.Fprintf(&b, "problem: %s\n", problem)
+	}
 	fmt.Fprintf(&b, "doubled %d, misrouted %d, shed by targets %d\n", len(r.Doubled), len(r.Misrouted), r.Shed)
 	return b.String()
 }
@@ -128,6 +133,17 @@
 	mu         sync.Mutex
 	tallies    map[Kind]*Tally
 	histograms map[Kind]*hdrhistogram.Histogram
+	problems   []string
+}
+
+// problem keeps a line about something that went wrong, if it is one of the first.
+func (r *recorder) problem(format string, args ...any) {
+	const most = 10
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.problems) < most {
+		r.problems = append(r.problems, fmt.Sprintf(format, args...))
+	}
 }
 
 func newRecorder() *recorder {
