Take out what the change left dead

A counter that nothing counted (takeovers), an accessor that nothing called (GrantSpan), and a comment about a mask that does not exist. No behaviour changes but that the metric, always zero, is no longer shown. Ran: format, vet and lint of core, tests of reducer, detector, comparer and operator; not the end-to-end tests.

--- a/core/detector/votes.go
+++ b/core/detector/votes.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/timekeeper"
@@ -101,6 +100,3 @@
 		}
 	}
 }
-
-// GrantSpan returns the timing's grant, for callers that wait one out.
-func (d *Detector) GrantSpan() time.Duration { return d.timing.Grant }
--- a/core/reducer/flow.go
+++ b/core/reducer/flow.go
@@ -18,8 +18,7 @@
 	// other is the target of plain requests, where target only keeps streams
 	// and uploads since it drains; noTarget otherwise.
 	other uint16
-	// seen is when the flow's last packet came, in seconds of the host's clock,
-	// cut to 24 bits by the mask of the flags.
+	// seen is when the flow's last packet came, in seconds of the host's clock.
 	seen  uint32
 	flags flowFlags
 }
--- a/core/reducer/stats.go
+++ b/core/reducer/stats.go
@@ -33,7 +33,6 @@
 	CountExceptions
 	CountWitnessed
 	CountUnwitnessed
-	CountTakeover
 	numReasons
 )
 
@@ -65,7 +64,6 @@
 	CountExceptions:    "exceptionsSent",
 	CountWitnessed:     "witnessed",
 	CountUnwitnessed:   "unwitnessed",
-	CountTakeover:      "takeovers",
 }
 
 func (r Reason) String() string {
