Settings files are read again at SIGHUP and when they change

Ruled out: ignoring the signal, since seeds and the platform's address may change. Change: package reloader; seeds and the platform's address are taken over, what else changed is logged as needing a restart.

--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"runtime/debug"
 
 	"cranberryspan.dev/balancer/internal/configurer"
+	"cranberryspan.dev/balancer/internal/fetcher"
 	"cranberryspan.dev/balancer/internal/flowrunner"
 	"cranberryspan.dev/balancer/internal/logger"
 	"cranberryspan.dev/platform"
@@ -45,8 +47,8 @@
 		stopLogging()
 		<-logged
 	}()
-	host, err := flowrunner.New(config, flowrunner.Platform{
-		Calls:            platform.NewStore(config.Platform),
+	host, err := flowrunner.New(path, config, flowrunner.Platform{
+		NewCalls:         func(address netip.AddrPort) fetcher.Platform { return platform.NewStore(address) },
 		Codec:            platform.Codec{},
 		MaxDatagramBytes: platform.MaxDatagramBytes,
 		ReadyPath:        platform.ReadyPath,
--- a/balancer/internal/configurer/flows.go
+++ b/balancer/internal/configurer/flows.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strings"
 
 	"cranberryspan.dev/core/resolver"
@@ -49,6 +50,21 @@
 	MemoryBytes int64
 }
 
+// WithSeeds returns a copy with other seeds.
+func (c FlowConfig) WithSeeds(seeds []netip.AddrPort) FlowConfig {
+	c.Seeds = seeds
+	return c
+}
+
+// WithPlatform returns a copy with another address of the platform.
+func (c FlowConfig) WithPlatform(platform netip.AddrPort) FlowConfig {
+	c.Platform = platform
+	return c
+}
+
+// Differs reports whether two configurations are not the same.
+func (c FlowConfig) Differs(other FlowConfig) bool { return !reflect.DeepEqual(c, other) }
+
 // forwardingEcho is the one way of forwarding that this release knows: targets
 // and callers repeat the tag of each packet.
 const forwardingEcho = "echo"
--- a/balancer/internal/fetcher/fetcher.go
+++ b/balancer/internal/fetcher/fetcher.go
@@ -33,6 +33,10 @@
 	return &Fetcher{platform: platform, clock: clock, events: events}
 }
 
+// Replace makes later calls go to another platform. It may not be called while
+// another goroutine starts calls.
+func (f *Fetcher) Replace(platform Platform) { f.platform = platform }
+
 // Run reports on the returned channel when the context has ended and every call
 // has returned.
 func (f *Fetcher) Run(ctx context.Context) <-chan error {
@@ -47,25 +51,27 @@
 
 // ReadSettings starts a read of the settings.
 func (f *Fetcher) ReadSettings(ctx context.Context) {
+	platform := f.platform
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
-		settings, document, err := f.platform.ReadSettings(ctx)
+		settings, document, err := platform.ReadSettings(ctx)
 		return &steerer.SettingsRead{Started: started, Settings: settings, Document: document, Err: err}
 	})
 }
 
 // ReadTargets starts a read of the list of targets.
 func (f *Fetcher) ReadTargets(ctx context.Context) {
+	platform := f.platform
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
-		targets, revision, err := f.platform.ReadTargets(ctx)
+		targets, revision, err := platform.ReadTargets(ctx)
 		return &steerer.TargetsRead{Started: started, Targets: targets, Revision: revision, Err: err}
 	})
 }
 
 // Probe starts a liveness check.
 func (f *Fetcher) Probe(ctx context.Context, e *steerer.Probe) {
-	target, address, path := e.Target, e.Address, e.Path
+	platform, target, address, path := f.platform, e.Target, e.Address, e.Path
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
-		outcome := f.platform.Check(ctx, target, address, path)
+		outcome := platform.Check(ctx, target, address, path)
 		return &steerer.Probed{Target: target, Outcome: outcome, Took: time.Duration(f.clock() - started)}
 	})
 }
--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"cranberryspan.dev/balancer/internal/configurer"
@@ -14,6 +15,7 @@
 	"cranberryspan.dev/balancer/internal/gossiper"
 	"cranberryspan.dev/balancer/internal/logger"
 	"cranberryspan.dev/balancer/internal/readier"
+	"cranberryspan.dev/balancer/internal/reloader"
 	"cranberryspan.dev/core/encoder"
 	"cranberryspan.dev/core/steerer"
 	"cranberryspan.dev/core/timekeeper"
@@ -34,8 +36,9 @@
 
 // Platform is the host's way to its platform.
 type Platform struct {
-	Calls fetcher.Platform
-	Codec forwarder.Codec
+	// NewCalls makes a client of the platform at an address.
+	NewCalls func(address netip.AddrPort) fetcher.Platform
+	Codec    forwarder.Codec
 	// MaxDatagramBytes is the size of the largest datagram of Codec.
 	MaxDatagramBytes int
 	// ReadyPath is where the fabric asks whether the host takes packets.
@@ -44,22 +47,26 @@
 
 // Runner is one host's daemon.
 type Runner struct {
-	config  configurer.FlowConfig
-	log     *logger.Logger
-	start   time.Time
-	steerer *steerer.Steerer
-	events  chan steerer.Event
+	// path is where the settings file lies.
+	path     string
+	config   configurer.FlowConfig
+	platform Platform
+	log      *logger.Logger
+	start    time.Time
+	steerer  *steerer.Steerer
+	events   chan steerer.Event
 
 	forwarder *forwarder.Forwarder
 	gossiper  *gossiper.Gossiper
 	fetcher   *fetcher.Fetcher
 	readier   *readier.Readier
+	reloader  *reloader.Reloader
 	ready     bool
 }
 
-// New opens the host's sockets.
-func New(config configurer.FlowConfig, platform Platform, log *logger.Logger) (*Runner, error) {
-	r := &Runner{config: config, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue)}
+// New opens the host's sockets. The settings in config were read from path.
+func New(path string, config configurer.FlowConfig, platform Platform, log *logger.Logger) (*Runner, error) {
+	r := &Runner{path: path, config: config, platform: platform, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue)}
 	incarnation := uint64(r.start.UnixMilli())
 	r.steerer = steerer.New(steerer.Config{
 		Self:             config.Name,
@@ -81,7 +88,8 @@
 	if r.readier, err = readier.New(config.ReadyAddress, platform.ReadyPath); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
-	r.fetcher = fetcher.New(platform.Calls, r.now, r.events)
+	r.fetcher = fetcher.New(platform.NewCalls(config.Platform), r.now, r.events)
+	r.reloader = reloader.New(path)
 	return r, nil
 }
 
@@ -101,6 +109,7 @@
 		gatherer.Part{Ends: r.gossiper.Run(parts), Count: 1},
 		gatherer.Part{Ends: r.fetcher.Run(parts), Count: 1},
 		gatherer.Part{Ends: r.readier.Run(parts), Count: 1},
+		gatherer.Part{Ends: r.reloader.Run(parts), Count: 1},
 	)
 	r.log.Write("hostStarted", zap.String("host", r.config.Name), zap.String("zone", r.config.AvailabilityZone))
 	err := r.loop(parts, leave, ends.First())
@@ -129,6 +138,10 @@
 			event = &steerer.Shutdown{}
 		case <-ticker.C:
 			event = &steerer.Tick{}
+		case cause := <-r.reloader.Changed():
+			if event = r.reload(cause); event == nil {
+				continue
+			}
 		case event = <-r.events:
 		}
 		if r.handle(ctx, event) {
--- a/core/steerer/event.go
+++ b/core/steerer/event.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"net/netip"
 	"time"
 
 	"cranberryspan.dev/core/messenger"
@@ -18,6 +19,7 @@
 func (*ReportReceived) event() {}
 func (*Tick) event()           {}
 func (*Shutdown) event()       {}
+func (*SeedsChanged) event()   {}
 
 // CallerPacket is a packet that the fabric handed to this host.
 type CallerPacket struct {
@@ -106,6 +108,12 @@
 	At timekeeper.Instant
 }
 
+// SeedsChanged replaces the addresses at which other hosts may be found.
+type SeedsChanged struct {
+	At    timekeeper.Instant
+	Seeds []netip.AddrPort
+}
+
 // Stamp sets the time at which an event is handled.
 func Stamp(event Event, now timekeeper.Instant) {
 	switch e := event.(type) {
@@ -123,5 +131,7 @@
 		e.At = now
 	case *Shutdown:
 		e.At = now
+	case *SeedsChanged:
+		e.At = now
 	}
 }
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -113,6 +113,9 @@
 	case *Shutdown:
 		s.advance(event.At)
 		s.beginLeaving()
+	case *SeedsChanged:
+		s.advance(event.At)
+		s.config.Seeds = event.Seeds
 	}
 	return s.effects
 }
