A host without peers keeps no places at targets taken

Cause: a host that starts and gets packets before it has heard another passes reads and blocks on itself, as a fallback, and then waited for answers that go to the flows' owners. Found by tracing every block of TestRollingReplacement through all hosts. Ruled out: a lost answer (it was delivered by the owner), the target's memory. Change: a fallback keeps nothing of an idempotent request.

Flow edge: hosts ask each other for settings and targets that they can't read (exchanger), tests of steerer and platform.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Every task starts here: make help lists them.
-MODULES := core balancer operator standin
+MODULES := core balancer operator platform standin
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 FUMPT := mvdan.cc/gofumpt@v0.12.0
 
--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -45,12 +45,15 @@
 	logged := log.Run(logging)
 	defer func() {
 		stopLogging()
-		<-logged
+		if err := <-logged; err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
 	}()
 	host, err := flowrunner.New(path, config, flowrunner.Platform{
 		NewCalls:         func(address netip.AddrPort) fetcher.Platform { return platform.NewStore(address) },
 		Codec:            platform.Codec{},
 		MaxDatagramBytes: platform.MaxDatagramBytes,
+		DecodeSettings:   platform.DecodeSettings,
 		ReadyPath:        platform.ReadyPath,
 	}, log)
 	if err != nil {
--- /dev/null
+++ b/balancer/internal/exchanger/exchanger.go
@@ -0,0 +1,228 @@
+// Package exchanger asks other hosts questions and answers theirs: one sealed
+// message each way over a WebSocket of its own. No connection is kept, so none
+// can fall silent unnoticed.
+package exchanger
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cranberryspan.dev/core/encoder"
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/resolver"
+	"cranberryspan.dev/core/steerer"
+	"github.com/coder/websocket"
+)
+
+// Kind tells callers which sort of failure an Error is.
+type Kind uint8
+
+// The kinds of Error.
+const (
+	// KindListen means that the address can't be served.
+	KindListen Kind = iota + 1
+	// KindUnreachable means that the other host did not answer in time.
+	KindUnreachable
+	// KindMalformed means that its answer makes no sense.
+	KindMalformed
+)
+
+// Error is the one error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	path = "/knowledge"
+	// exchangeTimeout gives up an exchange. It takes two round trips and the time
+	// to compress a document of some 100 KB, a few milliseconds.
+	exchangeTimeout = 500 * time.Millisecond
+)
+
+// Decoder reads published settings.
+type Decoder func(document []byte) (*steerer.Settings, error)
+
+// Answerer answers a question from the host's own state.
+type Answerer func(ctx context.Context, request *messenger.KnowledgeRequest) (*messenger.Knowledge, error)
+
+// Exchanger serves and asks.
+type Exchanger struct {
+	listener net.Listener
+	sealer   *encoder.Sealer
+	decode   Decoder
+	answer   Answerer
+	events   chan<- steerer.Event
+	calls    sync.WaitGroup
+	// Refused counts questions that could not be read or answered.
+	Refused atomic.Uint64
+}
+
+// New listens on a host's address.
+func New(address netip.AddrPort, sealer *encoder.Sealer, decode Decoder, answer Answerer, events chan<- steerer.Event) (*Exchanger, error) {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return nil, &Error{Op: "listen for questions", Kind: KindListen, Err: err}
+	}
+	return &Exchanger{listener: listener, sealer: sealer, decode: decode, answer: answer, events: events}, nil
+}
+
+// Run answers questions until the context ends, and reports its end.
+func (x *Exchanger) Run(ctx context.Context) <-chan error {
+	end := make(chan error, 1)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, request *http.Request) {
+		if err := x.serve(ctx, w, request); err != nil {
+			x.Refused.Add(1)
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: exchangeTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		err := server.Serve(x.listener)
+		x.calls.Wait()
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		end <- err
+	}()
+	return end
+}
+
+func (x *Exchanger) serve(ctx context.Context, w http.ResponseWriter, request *http.Request) error {
+	conn, err := websocket.Accept(w, request, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.CloseNow() }()
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return err
+	}
+	from, body, err := x.sealer.Open(data)
+	if err != nil {
+		return err
+	}
+	question, ok := body.(*messenger.KnowledgeRequest)
+	if !ok {
+		return fmt.Errorf("unexpected %T", body)
+	}
+	knowledge, err := x.answer(ctx, question)
+	if err != nil {
+		return err
+	}
+	if knowledge.Document, err = compress(knowledge.Document); err != nil {
+		return err
+	}
+	sealed, err := x.sealer.Seal(from, knowledge)
+	if err != nil {
+		return err
+	}
+	if err := conn.Write(ctx, websocket.MessageBinary, sealed); err != nil {
+		return err
+	}
+	return conn.Close(websocket.StatusNormalClosure, "")
+}
+
+// Ask sends a question; the answer, or why there is none, becomes an event.
+func (x *Exchanger) Ask(ctx context.Context, e *steerer.AskHost) {
+	x.calls.Add(1)
+	host, address, question := e.Host, e.Address, e.Request
+	go func() {
+		defer x.calls.Done()
+		event := &steerer.HostAnswered{From: host}
+		event.Knowledge, event.Err = x.exchange(ctx, host, address, question)
+		if event.Err == nil && len(event.Knowledge.Document) > 0 {
+			event.Document, event.Settings, event.Err = x.unpack(event.Knowledge.Document)
+		}
+		select {
+		case x.events <- event:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (x *Exchanger) exchange(ctx context.Context, host string, address netip.AddrPort, question *messenger.KnowledgeRequest) (*messenger.Knowledge, error) {
+	const op = "ask host"
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	conn, response, err := websocket.Dial(ctx, "ws://"+address.String()+path, nil)
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(encoder.MaxControlBytes)
+	sealed, err := x.sealer.Seal(host, question)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindMalformed, Err: err}
+	}
+	if err := conn.Write(ctx, websocket.MessageBinary, sealed); err != nil {
+		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	_, body, err := x.sealer.Open(data)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindMalformed, Err: err}
+	}
+	knowledge, ok := body.(*messenger.Knowledge)
+	if !ok {
+		return nil, &Error{Op: op, Kind: KindMalformed, Err: fmt.Errorf("unexpected %T", body)}
+	}
+	return knowledge, nil
+}
+
+func (x *Exchanger) unpack(compressed []byte) ([]byte, *steerer.Settings, error) {
+	const op = "unpack settings"
+	reader, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return nil, nil, &Error{Op: op, Kind: KindMalformed, Err: err}
+	}
+	document, err := io.ReadAll(io.LimitReader(reader, resolver.MaxDocumentBytes))
+	if err != nil {
+		return nil, nil, &Error{Op: op, Kind: KindMalformed, Err: err}
+	}
+	settings, err := x.decode(document)
+	if err != nil {
+		return nil, nil, &Error{Op: op, Kind: KindMalformed, Err: err}
+	}
+	return document, settings, nil
+}
+
+func compress(document []byte) ([]byte, error) {
+	if len(document) == 0 {
+		return nil, nil
+	}
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	if _, err := writer.Write(document); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
--- a/balancer/internal/fetcher/fetcher.go
+++ b/balancer/internal/fetcher/fetcher.go
@@ -15,7 +15,7 @@
 // Platform is what a host asks of its platform.
 type Platform interface {
 	ReadSettings(ctx context.Context) (*steerer.Settings, []byte, error)
-	ReadTargets(ctx context.Context) ([]steerer.Target, uint64, error)
+	ReadTargets(ctx context.Context) (steerer.TargetList, error)
 	Check(ctx context.Context, target string, address netip.AddrPort, path string) steerer.ProbeOutcome
 }
 
@@ -62,8 +62,8 @@
 func (f *Fetcher) ReadTargets(ctx context.Context) {
 	platform := f.platform
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
-		targets, revision, err := platform.ReadTargets(ctx)
-		return &steerer.TargetsRead{Started: started, Targets: targets, Revision: revision, Err: err}
+		list, err := platform.ReadTargets(ctx)
+		return &steerer.TargetsRead{Started: started, List: list, Err: err}
 	})
 }
 
--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cranberryspan.dev/balancer/internal/configurer"
+	"cranberryspan.dev/balancer/internal/exchanger"
 	"cranberryspan.dev/balancer/internal/fetcher"
 	"cranberryspan.dev/balancer/internal/forwarder"
 	"cranberryspan.dev/balancer/internal/gatherer"
@@ -17,6 +18,7 @@
 	"cranberryspan.dev/balancer/internal/readier"
 	"cranberryspan.dev/balancer/internal/reloader"
 	"cranberryspan.dev/core/encoder"
+	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/steerer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cockroachdb/errors"
@@ -41,6 +43,8 @@
 	Codec    forwarder.Codec
 	// MaxDatagramBytes is the size of the largest datagram of Codec.
 	MaxDatagramBytes int
+	// DecodeSettings reads settings as they were published.
+	DecodeSettings exchanger.Decoder
 	// ReadyPath is where the fabric asks whether the host takes packets.
 	ReadyPath string
 }
@@ -55,9 +59,11 @@
 	start    time.Time
 	steerer  *steerer.Steerer
 	events   chan steerer.Event
+	looks    chan look
 
 	forwarder *forwarder.Forwarder
 	gossiper  *gossiper.Gossiper
+	exchanger *exchanger.Exchanger
 	fetcher   *fetcher.Fetcher
 	readier   *readier.Readier
 	reloader  *reloader.Reloader
@@ -66,7 +72,7 @@
 
 // New opens the host's sockets. The settings in config were read from path.
 func New(path string, config configurer.FlowConfig, platform Platform, log *logger.Logger) (*Runner, error) {
-	r := &Runner{path: path, config: config, platform: platform, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue)}
+	r := &Runner{path: path, config: config, platform: platform, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue), looks: make(chan look)}
 	incarnation := uint64(r.start.UnixMilli())
 	r.steerer = steerer.New(steerer.Config{
 		Self:             config.Name,
@@ -82,7 +88,11 @@
 	if r.forwarder, err = forwarder.New(config.PacketAddress, platform.Codec, platform.MaxDatagramBytes, r.events); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
-	if r.gossiper, err = gossiper.New(config.Address, encoder.New(config.Name, config.PeerKeys), r.events); err != nil {
+	sealer := encoder.New(config.Name, config.PeerKeys)
+	if r.gossiper, err = gossiper.New(config.Address, sealer, r.events); err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	if r.exchanger, err = exchanger.New(config.Address, sealer, platform.DecodeSettings, r.knowledge, r.events); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
 	if r.readier, err = readier.New(config.ReadyAddress, platform.ReadyPath); err != nil {
@@ -99,6 +109,31 @@
 	return timekeeper.Instant(time.Since(r.start) + time.Second)
 }
 
+// look is a function that runs between two events.
+type look struct {
+	run  func(*steerer.Steerer)
+	done chan struct{}
+}
+
+// inspect runs a function between two events.
+func (r *Runner) inspect(ctx context.Context, run func(*steerer.Steerer)) error {
+	l := look{run: run, done: make(chan struct{})}
+	select {
+	case r.looks <- l:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-l.done
+	return nil
+}
+
+// knowledge answers another host's question.
+func (r *Runner) knowledge(ctx context.Context, request *messenger.KnowledgeRequest) (*messenger.Knowledge, error) {
+	var knowledge *messenger.Knowledge
+	err := r.inspect(ctx, func(s *steerer.Steerer) { knowledge = s.Knowledge(request) })
+	return knowledge, err
+}
+
 // Run serves until leave ends and the host has left, or until ctx ends, which
 // ends it at once.
 func (r *Runner) Run(ctx context.Context, leave <-chan struct{}) error {
@@ -107,6 +142,7 @@
 	ends := gatherer.New(
 		gatherer.Part{Ends: r.forwarder.Run(parts), Count: 1},
 		gatherer.Part{Ends: r.gossiper.Run(parts), Count: 1},
+		gatherer.Part{Ends: r.exchanger.Run(parts), Count: 1},
 		gatherer.Part{Ends: r.fetcher.Run(parts), Count: 1},
 		gatherer.Part{Ends: r.readier.Run(parts), Count: 1},
 		gatherer.Part{Ends: r.reloader.Run(parts), Count: 1},
@@ -142,6 +178,10 @@
 			if event = r.reload(cause); event == nil {
 				continue
 			}
+		case l := <-r.looks:
+			l.run(r.steerer)
+			close(l.done)
+			continue
 		case event = <-r.events:
 		}
 		if r.handle(ctx, event) {
@@ -182,6 +222,8 @@
 			r.fetcher.Probe(ctx, e)
 		case *steerer.SendReport:
 			r.gossiper.Send(e)
+		case *steerer.AskHost:
+			r.exchanger.Ask(ctx, e)
 		case *steerer.Answered:
 		case *steerer.Logged:
 			r.logged(e)
--- a/core/encoder/encoder.go
+++ b/core/encoder/encoder.go
@@ -89,6 +89,8 @@
 	kindSettingsDocument
 	kindVerdicts
 	kindReport
+	kindKnowledgeRequest
+	kindKnowledge
 )
 
 func kindOf(body messenger.Body) bodyKind {
@@ -121,6 +123,10 @@
 		return kindVerdicts
 	case *messenger.Report:
 		return kindReport
+	case *messenger.KnowledgeRequest:
+		return kindKnowledgeRequest
+	case *messenger.Knowledge:
+		return kindKnowledge
 	}
 	return 0
 }
@@ -155,6 +161,10 @@
 		return &messenger.Verdicts{}
 	case kindReport:
 		return &messenger.Report{}
+	case kindKnowledgeRequest:
+		return &messenger.KnowledgeRequest{}
+	case kindKnowledge:
+		return &messenger.Knowledge{}
 	}
 	return nil
 }
--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -54,3 +54,26 @@
 	Name    string
 	Address netip.AddrPort
 }
+
+func (*KnowledgeRequest) body() {}
+func (*Knowledge) body()        {}
+
+// KnowledgeRequest asks a host for what it knows of settings and targets.
+type KnowledgeRequest struct {
+	// Above is the version in force at the sender; only a higher one is wanted.
+	Above uint64 `cbor:"above,omitempty"`
+}
+
+// Knowledge answers a KnowledgeRequest.
+type Knowledge struct {
+	// Version and Document are of the settings in force, as they were published;
+	// Document is compressed with gzip (RFC 1952), and empty if Version is not
+	// above the one asked for.
+	Version     uint64        `cbor:"ver,omitempty"`
+	Document    []byte        `cbor:"gz,omitempty"`
+	SettingsAge time.Duration `cbor:"verAge,omitempty"`
+	// Revision is the platform's revision that Targets reflect.
+	Revision   uint64        `cbor:"rev,omitempty"`
+	TargetsAge time.Duration `cbor:"revAge,omitempty"`
+	Targets    []TargetState `cbor:"tgt,omitempty"`
+}
--- a/core/reducer/leaving_test.go
+++ b/core/reducer/leaving_test.go
@@ -178,3 +178,36 @@
 	}
 	requireAtMostOnce(t, f)
 }
+
+// Symptom: while hosts are replaced one after another some uploads are answered
+// with "unknown" 5 s later, and some are cut by a block that another target got.
+// Sequence: a host starts and gets packets before it has heard any other; it
+// passes reads and blocks on itself; their answers go to the flows' owners.
+// Cause: the host waited for these answers and kept their places at the targets
+// taken, so that later blocks queued until their deadline, or went elsewhere.
+func TestHostWithoutPeersKeepsNoPlacesTaken(t *testing.T) {
+	tree := sicily()
+	tree.Defaults = []string{"exchangeLifetime: 10s", "flowMemory: 5m", "slots: 1"}
+	f := newFleet(t, tree)
+	f.Kill("a1")
+	f.Step(4 * time.Second)
+	f.Start("a1")
+	f.Step(5 * time.Millisecond)
+	const flows = 60
+	for n := range flows {
+		f.Call("a1", call(n, 2, 1), request(openRead|isBlock))
+	}
+	f.Step(500 * time.Millisecond)
+	for n := range flows {
+		f.Call("a1", call(n, 2, 2), request(repeats|isBlock))
+		f.Step(20 * time.Millisecond)
+	}
+	f.Step(time.Second)
+	for n := range flows {
+		require.True(t, answered(f, call(n, 2, 1)), "first block of flow %d", n)
+		require.True(t, answered(f, call(n, 2, 2)), "second block of flow %d", n)
+		require.Equal(t, targetOf(t, f, call(n, 2, 1)), targetOf(t, f, call(n, 2, 2)), "flow %d", n)
+	}
+	f.Step(6 * time.Second)
+	require.Empty(t, f.Replies)
+}
--- a/core/reducer/request.go
+++ b/core/reducer/request.go
@@ -124,6 +124,10 @@
 	if isNonIdempotent(in) && !r.admitNonIdempotent(in, id, role) {
 		return
 	}
+	if role == roleFallback {
+		r.passAsFallback(in)
+		return
+	}
 	q := r.newRequest(in, id)
 	at, ok := r.targetFor(in)
 	if !ok {
@@ -135,6 +139,23 @@
 	r.enqueue(q)
 }
 
+// passAsFallback sends an idempotent request on without keeping anything of it.
+//
+// What goes wrong if this host waits for the answer: other hosts know the flow's
+// owner and hand the answer there, so it never comes here. The request keeps a
+// place at its target taken until its deadline, later ones queue behind it or go
+// to another target, and the caller is told "unknown" long after its answer. One
+// notices by uploads that are cut while hosts are replaced.
+func (r *Reducer) passAsFallback(in *inbound) {
+	at, ok := r.targetFor(in)
+	if !ok {
+		q := r.newRequest(in, identityOf(in.key, in.packet.Exchange))
+		r.refuse(q, OutcomeNotRun, RefuseNoTarget)
+		return
+	}
+	r.pass(in, at)
+}
+
 // admitNonIdempotent decides whether a request that may run only once may run here
 // and now. If not, it holds the packet or notes that it may have run before.
 func (r *Reducer) admitNonIdempotent(in *inbound, id uint64, role role) bool {
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -53,15 +53,12 @@
 
 // Snapshot returns the present figures.
 func (s *Steerer) Snapshot() Snapshot {
-	snapshot := Snapshot{Counts: s.counts, Flows: len(s.flows), Targets: len(s.targets.byID), Peers: len(s.peers.byName)}
+	snapshot := Snapshot{Counts: s.counts, Flows: len(s.flows), Targets: len(s.targets.byID), Peers: len(s.peers.byName), Version: s.version()}
 	for _, t := range s.targets.byID {
 		if t.health.unreachable() {
 			snapshot.Unreachable++
 		}
 	}
-	if s.settings != nil {
-		snapshot.Version = s.settings.Version
-	}
 	return snapshot
 }
 
--- a/core/steerer/effect.go
+++ b/core/steerer/effect.go
@@ -17,6 +17,7 @@
 func (*ReadTargets) effect()  {}
 func (*Probe) effect()        {}
 func (*SendReport) effect()   {}
+func (*AskHost) effect()      {}
 func (*Answered) effect()     {}
 func (*Logged) effect()       {}
 func (*Ended) effect()        {}
@@ -58,6 +59,13 @@
 	Report  *messenger.Report
 }
 
+// AskHost asks another host for what it knows.
+type AskHost struct {
+	Host    string
+	Address netip.AddrPort
+	Request *messenger.KnowledgeRequest
+}
+
 // Answered says that a target began to answer a request, for histograms.
 type Answered struct {
 	Route   Route
--- a/core/steerer/event.go
+++ b/core/steerer/event.go
@@ -17,6 +17,7 @@
 func (*TargetsRead) event()    {}
 func (*Probed) event()         {}
 func (*ReportReceived) event() {}
+func (*HostAnswered) event()   {}
 func (*Tick) event()           {}
 func (*Shutdown) event()       {}
 func (*SeedsChanged) event()   {}
@@ -43,10 +44,17 @@
 type TargetsRead struct {
 	At      timekeeper.Instant
 	Started timekeeper.Instant
+	List    TargetList
+	Err     error
+}
+
+// TargetList is all targets that the platform lists.
+type TargetList struct {
 	// Revision is the platform's revision that the list shows.
 	Revision uint64
 	Targets  []Target
-	Err      error
+	// Malformed says of each entry that could not be read why.
+	Malformed []error
 }
 
 // ProbeOutcome is what a liveness check has shown.
@@ -98,6 +106,18 @@
 	Report *messenger.Report
 }
 
+// HostAnswered is the outcome of an AskHost effect.
+type HostAnswered struct {
+	At   timekeeper.Instant
+	From string
+	// Knowledge is nil if Err is set. Settings and Document are what it brought,
+	// if anything.
+	Knowledge *messenger.Knowledge
+	Settings  *Settings
+	Document  []byte
+	Err       error
+}
+
 // Tick lets time pass. It comes every TickEvery.
 type Tick struct {
 	At timekeeper.Instant
@@ -127,6 +147,8 @@
 		e.At = now
 	case *ReportReceived:
 		e.At = now
+	case *HostAnswered:
+		e.At = now
 	case *Tick:
 		e.At = now
 	case *Shutdown:
--- /dev/null
+++ b/core/steerer/fixture_test.go
@@ -0,0 +1,374 @@
+package steerer_test
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"cranberryspan.dev/core/timekeeper"
+	"github.com/stretchr/testify/require"
+)
+
+// fleet is some hosts before one platform, on a clock of its own. Calls and
+// messages take hop.
+type fleet struct {
+	t     testing.TB
+	now   timekeeper.Instant
+	names []string
+	hosts map[string]*host
+	queue []timed
+
+	settings *steerer.Settings
+	targets  map[string]steerer.Target
+	revision uint64
+	// down says that the platform answers nobody, turnedAway names hosts that it
+	// does not answer.
+	down       bool
+	turnedAway map[string]bool
+	cut        map[[2]string]bool
+	// outcomes says how liveness checks end; the others end well.
+	outcomes map[string]steerer.ProbeOutcome
+	reads    int
+	probes   int
+}
+
+type host struct {
+	steerer *steerer.Steerer
+	address netip.AddrPort
+	running bool
+	starts  uint64
+	sent    []sent
+	resets  []steerer.ResetFlow
+	logs    []steerer.Logged
+	ended   bool
+}
+
+// sent is a packet that a host passed on.
+type sent struct {
+	target string
+	tag    steerer.Tag
+	data   string
+}
+
+type timed struct {
+	at timekeeper.Instant
+	do func()
+}
+
+const hop = 2 * time.Millisecond
+
+var errDown = errors.New("the platform does not answer")
+
+// Routes of every test: reads and checks go to ledger, uploads to intake.
+var (
+	readRoute   = netip.MustParseAddrPort("198.18.0.1:443")
+	checkRoute  = netip.MustParseAddrPort("198.18.0.1:444")
+	uploadRoute = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+func routes() []steerer.Route {
+	ledger, intake := []steerer.Share{{Service: "ledger", Weight: 1}}, []steerer.Share{{Service: "intake", Weight: 1}}
+	return []steerer.Route{
+		{Name: "read", Address: readRoute, Shares: ledger, Kind: steerer.KindIdempotent, Timeout: 2500 * time.Millisecond},
+		{Name: "check", Address: checkRoute, Shares: ledger, Kind: steerer.KindNonIdempotent, Timeout: 3 * time.Second},
+		{Name: "upload", Address: uploadRoute, Shares: intake, Kind: steerer.KindUpload, Timeout: 5 * time.Second},
+	}
+}
+
+func settingsOf(version uint64, routes []steerer.Route) *steerer.Settings {
+	return steerer.NewSettings(version, routes, []steerer.Service{{Name: "ledger", HealthPath: "/healthz"}}, 15*time.Second)
+}
+
+// newFleet starts hosts in zones a, b, ... and waits until all are ready. A
+// host's name is its zone and a number.
+func newFleet(t testing.TB, hostsByZone ...int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, now: timekeeper.Instant(time.Second), hosts: map[string]*host{}, targets: map[string]steerer.Target{},
+		turnedAway: map[string]bool{}, cut: map[[2]string]bool{}, outcomes: map[string]steerer.ProbeOutcome{},
+		settings: settingsOf(1, routes()), revision: 1,
+	}
+	for zone, count := range hostsByZone {
+		for n := 1; n <= count; n++ {
+			name := fmt.Sprintf("%c%d", 'a'+zone, n)
+			f.names = append(f.names, name)
+			f.hosts[name] = &host{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(zone + 1), byte(n >> 8), byte(n)}), 7000)}
+		}
+	}
+	for i := range 6 {
+		f.addTarget(fmt.Sprintf("i-1%07x", i+1), "ledger", string(rune('a'+i%max(len(hostsByZone), 1))))
+	}
+	for i := range 3 {
+		f.addTarget(fmt.Sprintf("i-2%07x", i+1), "intake", string(rune('a'+i%max(len(hostsByZone), 1))))
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	f.step(2 * time.Second)
+	for _, name := range f.names {
+		require.True(t, f.hosts[name].steerer.Ready(), name)
+	}
+	return f
+}
+
+// addTarget registers a target and returns it.
+func (f *fleet) addTarget(id, service, zone string) steerer.Target {
+	number, ok := steerer.NumberOf(id)
+	require.True(f.t, ok)
+	f.revision++
+	target := steerer.Target{
+		ID: id, Number: number, Service: service, AvailabilityZone: zone, Slots: 3,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 64, byte(number >> 28), byte(number)}), 8080),
+	}
+	f.targets[id] = target
+	return target
+}
+
+func (f *fleet) drain(id string) {
+	target := f.targets[id]
+	target.Draining = true
+	f.targets[id] = target
+	f.revision++
+}
+
+func (f *fleet) remove(id string) {
+	delete(f.targets, id)
+	f.revision++
+}
+
+// start starts a host that knows nothing but seeds.
+func (f *fleet) start(name string) {
+	h := f.hosts[name]
+	var seeds []netip.AddrPort
+	for _, seed := range f.names[:min(3, len(f.names))] {
+		seeds = append(seeds, f.hosts[seed].address)
+	}
+	h.starts++
+	h.running = true
+	h.ended = false
+	h.steerer = steerer.New(steerer.Config{
+		Self: name, Address: h.address, AvailabilityZone: name[:1], Seeds: seeds,
+		Incarnation: h.starts, Seed: h.starts, MaxFlows: 10_000, Start: f.now,
+	})
+	f.reduce(name, &steerer.Tick{})
+}
+
+func (f *fleet) kill(name string) { f.hosts[name].running = false }
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.queue = append(f.queue, timed{at: f.now.Add(d), do: do})
+}
+
+// step lets time pass, tick by tick, in order of the hosts' names.
+func (f *fleet) step(d time.Duration) {
+	end := f.now.Add(d)
+	for f.now < end {
+		next := min(f.now.Add(steerer.TickEvery), end)
+		f.runUntil(next)
+		f.now = next
+		for _, name := range f.names {
+			f.reduce(name, &steerer.Tick{})
+		}
+	}
+}
+
+// runUntil runs what is due before a moment, in order of time and entry.
+func (f *fleet) runUntil(end timekeeper.Instant) {
+	for {
+		best := -1
+		for i, one := range f.queue {
+			if one.at <= end && (best < 0 || one.at < f.queue[best].at) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return
+		}
+		one := f.queue[best]
+		f.queue = slices.Delete(f.queue, best, best+1)
+		f.now = max(f.now, one.at)
+		one.do()
+	}
+}
+
+func (f *fleet) reduce(name string, event steerer.Event) {
+	h := f.hosts[name]
+	if !h.running {
+		return
+	}
+	steerer.Stamp(event, f.now)
+	for _, effect := range slices.Clone(h.steerer.Reduce(event)) {
+		f.carryOut(name, effect)
+	}
+}
+
+func (f *fleet) carryOut(name string, effect steerer.Effect) {
+	h := f.hosts[name]
+	switch e := effect.(type) {
+	case *steerer.ToTarget:
+		h.sent = append(h.sent, sent{target: idOf(e.Number), tag: e.Tag, data: string(e.Data)})
+	case *steerer.ResetFlow:
+		h.resets = append(h.resets, *e)
+	case *steerer.ReadSettings:
+		f.readSettings(name)
+	case *steerer.ReadTargets:
+		f.readTargets(name)
+	case *steerer.Probe:
+		f.probe(name, *e)
+	case *steerer.SendReport:
+		f.sendReport(name, e)
+	case *steerer.AskHost:
+		f.askHost(name, e)
+	case *steerer.Logged:
+		h.logs = append(h.logs, *e)
+	case *steerer.Ended:
+		h.ended = true
+	case *steerer.Answered:
+	}
+}
+
+func idOf(number steerer.Number) string { return fmt.Sprintf("i-%x", uint64(number)) }
+
+func (f *fleet) answers(name string) bool { return !f.down && !f.turnedAway[name] }
+
+func (f *fleet) readSettings(name string) {
+	f.reads++
+	event := &steerer.SettingsRead{Started: f.now, Err: errDown}
+	if f.answers(name) {
+		event.Settings, event.Document, event.Err = f.settings, []byte{byte(f.settings.Version)}, nil
+	}
+	f.after(hop, func() { f.reduce(name, event) })
+}
+
+func (f *fleet) readTargets(name string) {
+	f.reads++
+	event := &steerer.TargetsRead{Started: f.now, Err: errDown}
+	if f.answers(name) {
+		event.Err, event.List.Revision = nil, f.revision
+		for _, target := range f.targets {
+			event.List.Targets = append(event.List.Targets, target)
+		}
+		slices.SortFunc(event.List.Targets, func(x, y steerer.Target) int { return int(x.Number) - int(y.Number) })
+	}
+	f.after(hop, func() { f.reduce(name, event) })
+}
+
+func (f *fleet) probe(name string, e steerer.Probe) {
+	f.probes++
+	outcome, ok := f.outcomes[e.Target]
+	took := hop
+	if !ok {
+		outcome = steerer.ProbeHealthy
+	}
+	if outcome == steerer.ProbeSilent {
+		took = 250 * time.Millisecond
+	}
+	f.after(took, func() {
+		f.reduce(name, &steerer.Probed{Target: e.Target, Outcome: outcome, Took: took})
+	})
+}
+
+func (f *fleet) sendReport(name string, e *steerer.SendReport) {
+	report := *e.Report
+	for _, other := range f.names {
+		if f.hosts[other].address == e.Address && !f.cut[[2]string{name, other}] {
+			f.after(hop, func() { f.reduce(other, &steerer.ReportReceived{From: name, Report: &report}) })
+		}
+	}
+}
+
+func (f *fleet) askHost(name string, e *steerer.AskHost) {
+	other := f.hosts[e.Host]
+	event := &steerer.HostAnswered{From: e.Host, Err: errDown}
+	if other.running && !f.cut[[2]string{name, e.Host}] {
+		event.Err = nil
+		event.Knowledge = other.steerer.Knowledge(e.Request)
+		if event.Knowledge.Document != nil {
+			event.Document, event.Settings = event.Knowledge.Document, f.settings
+		}
+	}
+	f.after(hop, func() { f.reduce(name, event) })
+}
+
+// split cuts every link between zones; the platform stays in reach.
+func (f *fleet) split(zone string) {
+	for _, x := range f.names {
+		for _, y := range f.names {
+			f.cut[[2]string{x, y}] = (x[:1] == zone) != (y[:1] == zone)
+		}
+	}
+}
+
+// caller is one end of a flow.
+type caller struct {
+	f       *fleet
+	address netip.AddrPort
+	route   netip.AddrPort
+	// target and tag are what the opening packet got.
+	target   string
+	tag      steerer.Tag
+	sequence uint32
+	answered uint32
+}
+
+func (f *fleet) caller(n int, route netip.AddrPort) *caller {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), 40000)
+	return &caller{f: f, address: address, route: route, sequence: 1000, answered: 5000}
+}
+
+func (c *caller) packet(flags steerer.Flags, length uint32, data string) steerer.Packet {
+	return steerer.Packet{
+		Caller: c.address, Service: c.route, Tag: c.tag, Flags: flags, Length: length,
+		Sequence: c.sequence, Acknowledged: c.answered, Data: []byte(data),
+	}
+}
+
+// open sends the first opening packet through a host, or a copy of it, and takes
+// the target that it reached.
+func (c *caller) open(name string, copies uint32) {
+	p := c.packet(steerer.FlagOpen, 0, "open")
+	p.Acknowledged, p.Tag = copies, 0
+	before := len(c.f.hosts[name].sent)
+	c.f.reduce(name, &steerer.CallerPacket{Packet: p})
+	if all := c.f.hosts[name].sent; len(all) > before {
+		c.target, c.tag = all[len(all)-1].target, all[len(all)-1].tag
+	}
+}
+
+// establish acknowledges the target's answer to the opening packet.
+func (c *caller) establish(name string) {
+	c.f.reduce(name, &steerer.CallerPacket{Packet: c.packet(steerer.FlagAck, 0, "ack")})
+}
+
+// ask sends a request of one packet.
+func (c *caller) ask(name string) {
+	p := c.packet(steerer.FlagAck, 100, "ask")
+	c.f.reduce(name, &steerer.CallerPacket{Packet: p})
+	c.sequence += 100
+}
+
+// repeat sends the last request again.
+func (c *caller) repeat(name string) {
+	p := c.packet(steerer.FlagAck, 100, "ask")
+	p.Sequence -= 100
+	c.f.reduce(name, &steerer.CallerPacket{Packet: p})
+}
+
+// thank acknowledges an answer.
+func (c *caller) thank(name string) {
+	c.answered += 500
+	c.establish(name)
+}
+
+// last is the target that the last packet through a host reached.
+func (f *fleet) last(name string) string {
+	all := f.hosts[name].sent
+	if len(all) == 0 {
+		return ""
+	}
+	return all[len(all)-1].target
+}
--- /dev/null
+++ b/core/steerer/health_test.go
@@ -0,0 +1,164 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+// openOn opens a flow that lands on a target of the caller's choice.
+func openOn(f *fleet, name, target string, from int, toRead bool) *caller {
+	route := readRoute
+	if !toRead {
+		route = checkRoute
+	}
+	for n := from; n < from+500; n++ {
+		c := f.caller(n, route)
+		c.open(name, 0)
+		c.establish(name)
+		if c.target == target {
+			return c
+		}
+	}
+	f.t.Fatalf("no flow landed on %s", target)
+	return nil
+}
+
+// Symptom: callers of a target that crashed silently wait until their deadline.
+// Sequence: a target stops answering while a read and a check wait for it.
+// Cause: nobody tells the callers. The read may run again and is reset; the
+// check may have run, its caller would not repeat it, and it is left alone.
+func TestSilentTargetsReadsAreReset(t *testing.T) {
+	f := newFleet(t, 1)
+	const target = "i-10000001"
+	read := openOn(f, "a1", target, 0, true)
+	check := openOn(f, "a1", target, 1000, false)
+	f.step(time.Second)
+	f.outcomes[target] = steerer.ProbeSilent
+	read.ask("a1")
+	check.ask("a1")
+	f.step(200 * time.Millisecond)
+	read.repeat("a1")
+	check.repeat("a1")
+	f.step(300 * time.Millisecond)
+	require.Len(t, f.hosts["a1"].resets, 1)
+	require.Equal(t, read.address, f.hosts["a1"].resets[0].Caller)
+
+	for n := range 100 {
+		c := f.caller(2000+n, readRoute)
+		c.open("a1", 0)
+		require.NotEqual(t, target, c.target, "new flows avoid it")
+	}
+	idle := read
+	idle.ask("a1")
+	require.Len(t, f.hosts["a1"].resets, 2, "an idle flow's next request is told at once")
+}
+
+// Symptom: a flow whose target lives is reset. Sequence: one flow stalls, for a
+// packet was lost; the target's check hangs, for its queue of connections is
+// full; other flows make progress. Cause: trust in the check alone.
+func TestTargetThatMakesProgressIsNotGivenUp(t *testing.T) {
+	f := newFleet(t, 1)
+	const target = "i-10000001"
+	stalled := openOn(f, "a1", target, 0, true)
+	lively := openOn(f, "a1", target, 1000, true)
+	f.step(time.Second)
+	f.outcomes[target] = steerer.ProbeSilent
+	stalled.ask("a1")
+	f.step(200 * time.Millisecond)
+	stalled.repeat("a1")
+	f.step(100 * time.Millisecond)
+	lively.ask("a1")
+	f.step(50 * time.Millisecond)
+	lively.thank("a1")
+	f.step(200 * time.Millisecond)
+	stalled.repeat("a1")
+	require.Empty(t, f.hosts["a1"].resets)
+}
+
+// Symptom: a host that wakes resets the flows of targets that are well.
+// Sequence: the host stands still for seconds; callers' repeats and the time-outs
+// of checks come out at once. Cause: silence that was only the host's own.
+func TestHostThatStoodStillBlamesNobody(t *testing.T) {
+	f := newFleet(t, 1)
+	const target = "i-10000001"
+	c := openOn(f, "a1", target, 0, true)
+	f.step(time.Second)
+	f.outcomes[target] = steerer.ProbeSilent
+	c.ask("a1")
+	f.now = f.now.Add(3 * time.Second) // No tick comes meanwhile.
+	c.repeat("a1")
+	c.repeat("a1")
+	f.step(400 * time.Millisecond)
+	require.Empty(t, f.hosts["a1"].resets)
+	require.Zero(t, f.probes)
+}
+
+// Symptom: flows of a crashed target wait although it refuses everyone.
+// Sequence: the target restarts within its address; it resets every opening
+// packet, straight to the caller. Cause: the host sees neither copy nor answer.
+func TestTargetThatRefusesFlowsIsNoticed(t *testing.T) {
+	f := newFleet(t, 1)
+	const target = "i-10000001"
+	f.outcomes[target] = steerer.ProbeRefused
+	for n := 0; ; n++ {
+		c := f.caller(n, readRoute)
+		c.open("a1", 0)
+		if c.target == target {
+			break
+		}
+		c.establish("a1")
+	}
+	f.step(400 * time.Millisecond)
+	for n := range 100 {
+		c := f.caller(2000+n, readRoute)
+		c.open("a1", 0)
+		require.NotEqual(t, target, c.target)
+	}
+}
+
+// A target that did not answer gets flows again once it does, and is asked so
+// rarely that checks stay few.
+func TestTargetComesBack(t *testing.T) {
+	f := newFleet(t, 1)
+	const target = "i-10000001"
+	c := openOn(f, "a1", target, 0, true)
+	f.step(time.Second)
+	f.outcomes[target] = steerer.ProbeSilent
+	c.ask("a1")
+	f.step(200 * time.Millisecond)
+	c.repeat("a1")
+	f.step(10 * time.Second)
+	require.Len(t, f.hosts["a1"].resets, 1)
+	require.LessOrEqual(t, f.probes, 6)
+	delete(f.outcomes, target)
+	f.step(3 * time.Second)
+	openOn(f, "a1", target, 3000, true)
+}
+
+// If no target of a service answers, flows are still tried: a flow that does not
+// open costs its caller no more than a refusal.
+func TestServiceIsNeverEmptiedByChecks(t *testing.T) {
+	f := newFleet(t, 1)
+	var callers []*caller
+	for id, target := range f.targets {
+		if target.Service == "ledger" {
+			f.outcomes[id] = steerer.ProbeSilent
+			callers = append(callers, openOn(f, "a1", id, 500*len(callers), true))
+		}
+	}
+	f.step(time.Second)
+	for _, c := range callers {
+		c.ask("a1")
+	}
+	f.step(200 * time.Millisecond)
+	for _, c := range callers {
+		c.repeat("a1")
+	}
+	f.step(time.Second)
+	c := f.caller(9000, readRoute)
+	c.open("a1", 0)
+	require.NotEmpty(t, c.target)
+}
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -51,6 +51,11 @@
 	mentioned    timekeeper.Instant
 	nextDeadline timekeeper.Instant
 	busy         map[uint32]uint16
+	// version and revision are what the host had in force at its last report,
+	// digest what it knew of targets.
+	version  uint64
+	revision uint64
+	digest   uint64
 }
 
 // change is a target whose state other hosts should hear of.
@@ -120,13 +125,16 @@
 	}
 	if p.heard == 0 || !p.hears(s.now) {
 		s.log("peerHeard", Field{"peer", p.name}, Field{"zone", r.AvailabilityZone})
-		p.nextDeadline = 0 // It may know nothing yet.
+		p.nextDeadline = 0 // It may know nothing yet, so it is answered at once.
 	}
 	p.address = r.Address
 	p.zone = r.AvailabilityZone
 	p.incarnation = r.Incarnation
 	p.leaving = r.Leaving
 	p.heard = s.now
+	p.version = r.Version
+	p.revision = r.TargetsRevision
+	p.digest = r.TargetsDigest
 	s.takeBusy(p, r.Busy)
 	for _, hint := range r.Hosts {
 		if hint.Name != s.config.Self {
@@ -134,7 +142,9 @@
 		}
 	}
 	s.compareSettings(r)
-	s.compareTargets(r)
+	s.compareTargets(r, p.name)
+	s.reportIfDue(p)
+	s.askingTick()
 }
 
 // notePeer returns the record of a host, which it makes if there is none.
@@ -166,26 +176,22 @@
 
 // compareSettings learns from a report how new the own settings are.
 func (s *Steerer) compareSettings(r *messenger.Report) {
-	own := uint64(0)
-	if s.settings != nil {
-		own = s.settings.Version
-	}
 	switch {
-	case r.Version > own:
+	case r.Version > s.version():
 		s.reading.settings.urgent = true
-	case r.Version == own && own != 0:
+	case r.Version == s.version() && r.Version != 0:
 		s.confirm(&s.reading.settings, r.SettingsAge)
 	}
 }
 
 // compareTargets takes the changes in a report, and learns from it how new the
 // own list of targets is.
-func (s *Steerer) compareTargets(r *messenger.Report) {
+func (s *Steerer) compareTargets(r *messenger.Report, from string) {
 	if s.targetsRevision == 0 {
 		return // The own first read is under way and brings all at once.
 	}
 	for _, state := range r.Changes {
-		s.takeState(state)
+		s.takeState(state, from)
 	}
 	if r.TargetsRevision == 0 {
 		return
@@ -203,11 +209,11 @@
 	}
 }
 
-func (s *Steerer) takeState(state messenger.TargetState) {
+func (s *Steerer) takeState(state messenger.TargetState, from string) {
 	known, ok := s.targets.byID[state.ID]
 	if state.Missing {
 		if ok && !known.missing && state.Seen > known.seen {
-			s.takeMissing(known, state.Seen, "peer")
+			s.takeMissing(known, state.Seen, from)
 		}
 		return
 	}
@@ -218,7 +224,7 @@
 	s.takeRecord(Target{
 		ID: state.ID, Number: number, Service: state.Service, Address: state.Address,
 		AvailabilityZone: state.AvailabilityZone, Slots: state.Slots, Draining: state.Draining, WarmUp: state.WarmUp,
-	}, state.Seen, "peer")
+	}, state.Seen, from)
 }
 
 // peersTick sends the reports that are due.
@@ -301,9 +307,7 @@
 		TargetsAge:       age(s.now, s.reading.targets.confirmed),
 		TargetsDigest:    s.targets.digest(),
 		Hosts:            s.hints(to),
-	}
-	if s.settings != nil {
-		r.Version = s.settings.Version
+		Version:          s.version(),
 	}
 	for _, c := range s.peers.changes[max(len(s.peers.changes)-maxChanges, 0):] {
 		r.Changes = append(r.Changes, c.target.state(s.now))
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -21,8 +21,6 @@
 	// firstReadBackoff and maxReadBackoff bound the pause after a failed read.
 	firstReadBackoff = 150 * time.Millisecond
 	maxReadBackoff   = 1200 * time.Millisecond
-	// readTimeout gives up a read; the platform answers in milliseconds.
-	readTimeout = 500 * time.Millisecond
 )
 
 // source is one of the two things that are read from the platform.
@@ -151,7 +149,11 @@
 func (s *Steerer) targetsRead(e *TargetsRead) {
 	s.reading.targets.end(s.now, e.Started, e.Err != nil, s.random.Float64())
 	s.noteRead("targets", e.Err)
-	if e.Err == nil {
-		s.takeList(e.Targets, e.Revision)
+	if e.Err != nil {
+		return
+	}
+	for _, err := range e.List.Malformed {
+		s.log("targetMalformed", Field{"error", err.Error()})
 	}
+	s.takeList(e.List.Targets, e.List.Revision)
 }
--- /dev/null
+++ b/core/steerer/reading_test.go
@@ -0,0 +1,142 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Symptom: hosts go back to old settings. Sequence: a host has learned a version
+// from another; its own read, answered by a replica that lags, brings an older
+// one. Cause: the latest read wins over the highest version.
+func TestSettingsNeverGoBack(t *testing.T) {
+	f := newFleet(t, 1)
+	f.settings = settingsOf(5, routes()[:2])
+	f.step(2 * time.Second)
+	f.settings = settingsOf(4, routes())
+	f.step(2 * time.Second)
+	c := f.caller(1, uploadRoute)
+	c.open("a1", 0)
+	require.Empty(t, c.target, "version 5 has no such route")
+}
+
+// Symptom: settings come into force late while the platform is in trouble.
+// Sequence: a version is published; one host is turned away by the platform.
+// Cause: each host depends on its own reads.
+func TestVersionReachesHostsThatAreTurnedAway(t *testing.T) {
+	f := newFleet(t, 3, 3, 2)
+	f.turnedAway["a1"], f.turnedAway["b2"], f.turnedAway["c1"] = true, true, true
+	f.step(time.Second)
+	f.settings = settingsOf(2, routes()[:2])
+	f.step(2500 * time.Millisecond)
+	for _, name := range f.names {
+		c := f.caller(1, uploadRoute)
+		c.open(name, 0)
+		require.Empty(t, c.target, "%s still knows the route", name)
+	}
+}
+
+// Symptom: after a crash of hosts during an outage of the platform nobody is
+// served until it is back. Sequence: the platform goes down; all hosts but one
+// are killed and start again. Cause: hosts that can learn from the platform only.
+func TestHostsThatStartWhileThePlatformIsDown(t *testing.T) {
+	f := newFleet(t, 3, 3, 2)
+	f.down = true
+	f.step(time.Second)
+	for _, name := range f.names[1:] {
+		f.kill(name)
+	}
+	f.step(time.Second)
+	for _, name := range f.names[1:] {
+		f.start(name)
+	}
+	f.step(1500 * time.Millisecond)
+	for i, name := range f.names {
+		require.True(t, f.hosts[name].steerer.Ready(), name)
+		c := f.caller(i, readRoute)
+		c.open(name, 0)
+		require.NotEmpty(t, c.target, name)
+	}
+}
+
+// Symptom: the platform turns everybody away. Sequence: the fleet grows. Cause:
+// each host reads for itself, so that calls grow with the fleet.
+func TestReadsDoNotGrowWithTheFleet(t *testing.T) {
+	reads := map[int]int{}
+	for _, perZone := range []int{3, 30} {
+		f := newFleet(t, perZone, perZone, perZone)
+		f.step(5 * time.Second)
+		f.reads = 0
+		f.step(10 * time.Second)
+		reads[perZone] = f.reads
+	}
+	require.LessOrEqual(t, reads[3], 30, "two calls about every second")
+	require.LessOrEqual(t, reads[30], 4*reads[3])
+}
+
+// Symptom: a cut-off zone goes on with old settings though it reaches the
+// platform. Sequence: the zone with the reader is cut off; a version comes.
+// Cause: hosts that wait for a reader that they no longer hear.
+func TestEachSideOfACutReads(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.split("a")
+	f.settings = settingsOf(2, routes()[:2])
+	f.step(3 * time.Second)
+	for _, name := range f.names {
+		c := f.caller(1, uploadRoute)
+		c.open(name, 0)
+		require.Empty(t, c.target, name)
+	}
+}
+
+// Symptom: callers are refused although every target works. Sequence: the
+// platform is in trouble and the entries of all targets vanish for two seconds.
+// Cause: a list that is believed more than the flows.
+func TestVanishedEntriesOfLiveTargetsStillGetFlows(t *testing.T) {
+	f := newFleet(t, 1)
+	var callers []*caller
+	for n := range 30 {
+		c := f.caller(n, readRoute)
+		c.open("a1", 0)
+		c.establish("a1")
+		callers = append(callers, c)
+	}
+	saved := f.targets
+	f.targets = nil
+	f.revision++
+	for range 10 {
+		f.step(200 * time.Millisecond)
+		for _, c := range callers {
+			c.ask("a1")
+			c.thank("a1")
+		}
+	}
+	fresh := f.caller(500, readRoute)
+	fresh.open("a1", 0)
+	require.NotEmpty(t, fresh.target)
+	f.targets = saved
+	f.revision++
+	f.step(2 * time.Second)
+	fresh = f.caller(501, readRoute)
+	fresh.open("a1", 0)
+	require.NotEmpty(t, fresh.target)
+}
+
+// A target that is still missing after its time is gone, however lively.
+func TestTargetThatStaysMissingIsGone(t *testing.T) {
+	f := newFleet(t, 1)
+	const target = "i-10000001"
+	c := openOn(f, "a1", target, 0, true)
+	f.remove(target)
+	for range 30 {
+		f.step(200 * time.Millisecond)
+		c.ask("a1")
+		c.thank("a1")
+	}
+	for n := range 100 {
+		fresh := f.caller(2000+n, readRoute)
+		fresh.open("a1", 0)
+		require.NotEqual(t, target, fresh.target)
+	}
+}
--- a/core/steerer/settings.go
+++ b/core/steerer/settings.go
@@ -73,11 +73,6 @@
 	return r.Shares[0].Service
 }
 
-// allows reports whether the route may send flows to a service.
-func (r Route) allows(service string) bool {
-	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
-}
-
 // Service is a group of targets that run the same requests.
 type Service struct {
 	Name string
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -61,6 +61,7 @@
 	flows   map[flowKey]*flow
 	opening []openingCheck
 	reading reading
+	asking  asking
 	peers   peers
 	pause   pause
 	leaving leaving
@@ -107,6 +108,9 @@
 	case *ReportReceived:
 		s.advance(event.At)
 		s.reportReceived(event)
+	case *HostAnswered:
+		s.advance(event.At)
+		s.hostAnswered(event)
 	case *Tick:
 		s.advance(event.At)
 		s.tick()
@@ -132,6 +136,7 @@
 	s.healthTick()
 	s.peersTick()
 	s.readingTick()
+	s.askingTick()
 	s.leavingTick()
 }
 
@@ -151,12 +156,3 @@
 func (s *Steerer) Ready() bool {
 	return s.settings != nil && s.targetsRevision != 0 && !s.leaving.begun
 }
-
-// Document returns the settings in force as they were published, and their
-// version.
-func (s *Steerer) Document() ([]byte, uint64) {
-	if s.settings == nil {
-		return nil, 0
-	}
-	return s.document, s.settings.Version
-}
