Reports to a few hosts a round, settings from hosts before the platform

A host that started while the platform was down knew nothing. Ruled out: ranking among the hosts heard within a second: in a larger fleet each hears another sample, and a dozen believe they are first. Change: four reports a round in fleets of more than 12, rank among hosts that anybody mentions, settings and targets asked of other hosts first, reads bound to the times within which changes must be known; metrics on the admin address.

--- a/balancer/internal/configurer/flows.go
+++ b/balancer/internal/configurer/flows.go
@@ -6,6 +6,7 @@
 	"os"
 	"reflect"
 	"strings"
+	"time"
 
 	"cranberryspan.dev/core/resolver"
 	"go.yaml.in/yaml/v3"
@@ -24,7 +25,11 @@
 	Seeds           string   `yaml:"seeds"`
 	PeerKeys        []string `yaml:"peerKeys"`
 	MemoryMegabytes int64    `yaml:"memoryMegabytes"`
-	Forwarding      string   `yaml:"forwarding"`
+	FirstStart      bool     `yaml:"firstStart"`
+	// SettingsWithin and DrainingWithin are durations such as "3000ms".
+	SettingsWithin string `yaml:"settingsWithin"`
+	DrainingWithin string `yaml:"drainingWithin"`
+	Forwarding     string `yaml:"forwarding"`
 }
 
 // FlowConfig is what a host that steers flows has to know before it can read the
@@ -48,6 +53,12 @@
 	// report: this suits only a network that admits hosts alone.
 	PeerKeys    []resolver.Secret
 	MemoryBytes int64
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool
+	// SettingsWithin and DrainingWithin are the times within which the host has to
+	// know new settings, and targets that drain.
+	SettingsWithin time.Duration
+	DrainingWithin time.Duration
 }
 
 // WithSeeds returns a copy with other seeds.
@@ -69,6 +80,13 @@
 // and callers repeat the tag of each packet.
 const forwardingEcho = "echo"
 
+const (
+	// minWithin leaves time for a read and a report to the other hosts.
+	minWithin = time.Second
+	// maxWithin keeps a slip of the pen from hiding changes for ever.
+	maxWithin = 10 * time.Minute
+)
+
 // ReadFlowFile reads and checks the file of a host that steers flows.
 func ReadFlowFile(path string) (FlowConfig, error) {
 	const op = "read host settings"
@@ -87,7 +105,7 @@
 }
 
 func (t flowText) check() (FlowConfig, error) {
-	config := FlowConfig{Name: t.Name, AvailabilityZone: t.AvailabilityZone, MemoryBytes: t.MemoryMegabytes << 20}
+	config := FlowConfig{Name: t.Name, AvailabilityZone: t.AvailabilityZone, MemoryBytes: t.MemoryMegabytes << 20, FirstStart: t.FirstStart}
 	switch {
 	case t.Name == "":
 		return FlowConfig{}, missing("name")
@@ -115,6 +133,20 @@
 		}
 		*a.into = address
 	}
+	for _, d := range []struct {
+		key  string
+		text string
+		into *time.Duration
+	}{
+		{"settingsWithin", t.SettingsWithin, &config.SettingsWithin},
+		{"drainingWithin", t.DrainingWithin, &config.DrainingWithin},
+	} {
+		within, err := time.ParseDuration(d.text)
+		if err != nil || within < minWithin || within > maxWithin {
+			return FlowConfig{}, invalid("%s: %q is no duration from %s to %s, such as 3s", d.key, d.text, minWithin, maxWithin)
+		}
+		*d.into = within
+	}
 	for _, part := range strings.FieldsFunc(t.Seeds, func(c rune) bool { return c == ',' || c == ' ' }) {
 		address, err := parseAddress("seeds", part)
 		if err != nil {
--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -10,6 +10,7 @@
 
 	"cranberryspan.dev/balancer/internal/configurer"
 	"cranberryspan.dev/balancer/internal/exchanger"
+	"cranberryspan.dev/balancer/internal/exporter"
 	"cranberryspan.dev/balancer/internal/fetcher"
 	"cranberryspan.dev/balancer/internal/forwarder"
 	"cranberryspan.dev/balancer/internal/gatherer"
@@ -22,6 +23,7 @@
 	"cranberryspan.dev/core/steerer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 )
 
@@ -67,6 +69,8 @@
 	fetcher   *fetcher.Fetcher
 	readier   *readier.Readier
 	reloader  *reloader.Reloader
+	metrics   metrics
+	transport map[string]func() uint64
 	ready     bool
 }
 
@@ -81,6 +85,9 @@
 		Seeds:            config.Seeds,
 		Incarnation:      incarnation,
 		Seed:             incarnation,
+		FirstStart:       config.FirstStart,
+		SettingsWithin:   config.SettingsWithin,
+		DrainingWithin:   config.DrainingWithin,
 		MaxFlows:         int(float64(config.MemoryBytes) * flowShare / flowBytes),
 		Start:            r.now(),
 	})
@@ -100,6 +107,11 @@
 	}
 	r.fetcher = fetcher.New(platform.NewCalls(config.Platform), r.now, r.events)
 	r.reloader = reloader.New(path)
+	if r.metrics.exporter, err = exporter.New(config.AdminAddress, config.Name, flushEvery); err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	r.metrics.latencies = map[string]tally.Histogram{}
+	r.transport = r.transportCounters()
 	return r, nil
 }
 
@@ -146,6 +158,7 @@
 		gatherer.Part{Ends: r.fetcher.Run(parts), Count: 1},
 		gatherer.Part{Ends: r.readier.Run(parts), Count: 1},
 		gatherer.Part{Ends: r.reloader.Run(parts), Count: 1},
+		gatherer.Part{Ends: r.metrics.exporter.Run(parts, r.collect), Count: 2},
 	)
 	r.log.Write("hostStarted", zap.String("host", r.config.Name), zap.String("zone", r.config.AvailabilityZone))
 	err := r.loop(parts, leave, ends.First())
@@ -225,6 +238,7 @@
 		case *steerer.AskHost:
 			r.exchanger.Ask(ctx, e)
 		case *steerer.Answered:
+			r.metrics.answered(e)
 		case *steerer.Logged:
 			r.logged(e)
 		case *steerer.Ended:
--- /dev/null
+++ b/balancer/internal/flowrunner/metrics.go
@@ -0,0 +1,81 @@
+package flowrunner
+
+import (
+	"context"
+	"time"
+
+	"cranberryspan.dev/balancer/internal/exporter"
+	"cranberryspan.dev/core/steerer"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// flushEvery is the age that a figure may have when it is read. Operators
+	// read every 5 s; each flush costs some 100 microseconds.
+	flushEvery = 2 * time.Second
+	// maxRoutes bounds the histograms. A histogram takes some 3 KB; routes beyond
+	// the bound share one.
+	maxRoutes = 64
+	// otherRoutes names the histogram of the routes beyond maxRoutes.
+	otherRoutes = "other"
+)
+
+// metrics keeps a host's figures for operators.
+type metrics struct {
+	exporter  *exporter.Exporter
+	latencies map[string]tally.Histogram
+}
+
+// answered records how long a request took until its caller acknowledged the
+// answer's first bytes, as seen from this host.
+func (m *metrics) answered(e *steerer.Answered) {
+	name := e.Route.Name
+	histogram, ok := m.latencies[name]
+	if !ok && len(m.latencies) >= maxRoutes {
+		name = otherRoutes
+		histogram, ok = m.latencies[name]
+	}
+	if !ok {
+		histogram = m.exporter.Histogram("answer_latency", map[string]string{"route": name, "kind": e.Route.Kind.String()})
+		m.latencies[name] = histogram
+	}
+	histogram.RecordDuration(e.Latency)
+}
+
+// collect copies the host's counters and state into the metrics.
+func (r *Runner) collect(ctx context.Context) {
+	var snapshot steerer.Snapshot
+	if r.inspect(ctx, func(s *steerer.Steerer) { snapshot = s.Snapshot() }) != nil {
+		return // The host is about to end.
+	}
+	e := r.metrics.exporter
+	for i, name := range snapshot.Counts.Names() {
+		e.Count("decisions", name, snapshot.Counts[i])
+	}
+	for name, read := range r.transport {
+		e.Count("transport", name, read())
+	}
+	e.Scope.Gauge("flows").Update(float64(snapshot.Flows))
+	e.Scope.Gauge("targets").Update(float64(snapshot.Targets))
+	e.Scope.Gauge("targets_unreachable").Update(float64(snapshot.Unreachable))
+	e.Scope.Gauge("peers").Update(float64(snapshot.Peers))
+	e.Scope.Gauge("settings_version").Update(float64(snapshot.Version))
+	e.Scope.Gauge("settings_age_seconds").Update(snapshot.SettingsAge.Seconds())
+	e.Scope.Gauge("targets_age_seconds").Update(snapshot.TargetsAge.Seconds())
+	e.Scope.Gauge("ready").Update(exporter.OneIf(snapshot.Ready))
+}
+
+// transportCounters lists what the parts count, by name.
+func (r *Runner) transportCounters() map[string]func() uint64 {
+	return map[string]func() uint64{
+		"packets":          r.forwarder.Counters.Packets.Load,
+		"packetMalformed":  r.forwarder.Counters.Malformed.Load,
+		"packetOverflow":   r.forwarder.Counters.Overflow.Load,
+		"packetSendFailed": r.forwarder.Counters.SendFailed.Load,
+		"reportUnreadable": r.gossiper.Counters.Unreadable.Load,
+		"reportSendFailed": r.gossiper.Counters.SendFailed.Load,
+		"reportBytes":      r.gossiper.Counters.SentBytes.Load,
+		"questionsRefused": r.exchanger.Refused.Load,
+		"logLinesLeftOut":  r.log.LeftOut,
+	}
+}
--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -62,6 +62,8 @@
 type KnowledgeRequest struct {
 	// Above is the version in force at the sender; only a higher one is wanted.
 	Above uint64 `cbor:"above,omitempty"`
+	// Targets asks for all targets too.
+	Targets bool `cbor:"tgt,omitempty"`
 }
 
 // Knowledge answers a KnowledgeRequest.
--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -12,8 +12,7 @@
 	// how long one of them may hang: an answer takes some milliseconds.
 	askEvery = 300 * time.Millisecond
 	// askPatience is how long this host's targets may differ from another's before
-	// it asks, while it can't read the platform. Reports repeat each change for
-	// longer, so mostly they settle it.
+	// it asks. Reports repeat each change for longer, so mostly they settle it.
 	askPatience = time.Second
 )
 
@@ -21,65 +20,96 @@
 type asking struct {
 	// deadline is when the next question may be sent.
 	deadline timekeeper.Instant
+	// behindSince is since when another host is known to have newer settings; 0 if
+	// none is.
+	behindSince timekeeper.Instant
 	// differsSince is since when the targets known here differ from those of every
 	// host heard; 0 while they agree with one.
 	differsSince timekeeper.Instant
 }
 
-// askingTick asks another host for what this one lacks and can't read itself.
+// noteBehind remembers that another host has newer settings.
+func (s *Steerer) noteBehind() {
+	if s.asking.behindSince == 0 {
+		s.asking.behindSince = s.now
+	}
+}
+
+// askingTick asks another host for what this one lacks, and the platform only if
+// nobody answers.
 //
 // What goes wrong otherwise: a host that starts while the platform is down, or
 // turns it away, knows no settings and no targets. It takes no flows, and if the
-// fabric hands it packets nevertheless, drops them.
+// fabric hands it packets nevertheless, drops them. And after each change every
+// host of the fleet calls the platform at once.
 func (s *Steerer) askingTick() {
-	if !s.asking.deadline.Passed(s.now) {
-		return
-	}
 	p := s.informant()
-	if p == nil {
+	if p == nil || !s.asking.deadline.Passed(s.now) {
 		return
 	}
+	if s.asking.behindSince != 0 && s.asking.behindSince.Add(askEvery).Passed(s.now) {
+		s.reading.settings.urgent = true
+	}
 	s.asking.deadline = s.now.Add(askEvery)
-	request := &messenger.KnowledgeRequest{Above: s.version()}
-	s.log("hostAsked", Field{"peer", p.name}, Field{"version", utoa(s.version())}, Field{"peerVersion", utoa(p.version)}, Field{"revision", utoa(s.targetsRevision)})
+	request := &messenger.KnowledgeRequest{Above: s.version(), Targets: s.lacksTargets()}
+	s.log("hostAsked", Field{"peer", p.name}, Field{"version", utoa(s.version())}, Field{"peerVersion", utoa(p.version)},
+		Field{"targets", btoa(request.Targets)}, Field{"revision", utoa(s.targetsRevision)}, Field{"peerRevision", utoa(p.revision)})
 	s.emit(&AskHost{Host: p.name, Address: p.address, Request: request})
 }
 
-// informant picks a host that knows what this one lacks; nil if nothing is
-// lacking or nobody knows it.
+// informant picks a host that knows what this one lacks, in the own zone if there
+// is one; nil if nothing is lacking or nobody knows it.
 func (s *Steerer) informant() *peer {
-	own := s.targets.digest()
-	agrees := false
 	var best *peer
+	agrees := false
 	for _, p := range s.peers.ordered() {
 		if !p.hears(s.now) || p.revision == 0 {
 			continue
 		}
-		agrees = agrees || p.digest == own
-		if p.version < s.version() {
-			continue
-		}
-		if best == nil || p.version > best.version || (p.version == best.version && p.revision > best.revision) {
+		agrees = agrees || p.digest == s.targets.digest()
+		if p.version >= s.version() && (best == nil || s.knowsMore(p, best)) {
 			best = p
 		}
 	}
-	if agrees || best == nil {
-		s.asking.differsSince = 0
-	} else if s.asking.differsSince == 0 {
-		s.asking.differsSince = s.now
-	}
-	if best == nil {
+	s.noteDifference(agrees || best == nil || best.revision <= s.targetsRevision)
+	switch {
+	case best == nil:
 		return nil
-	}
-	fresh := s.settings == nil || s.targetsRevision == 0
-	cutOff := s.reading.failedSince != 0
-	differs := s.asking.differsSince != 0 && s.asking.differsSince.Add(askPatience).Passed(s.now)
-	if fresh || (cutOff && (best.version > s.version() || differs)) {
+	case s.settings == nil, best.version > s.version(), s.lacksTargets():
 		return best
 	}
 	return nil
 }
 
+// knowsMore orders hosts that may be asked.
+func (s *Steerer) knowsMore(p, other *peer) bool {
+	if p.version != other.version {
+		return p.version > other.version
+	}
+	near, otherNear := p.zone == s.config.AvailabilityZone, other.zone == s.config.AvailabilityZone
+	if near != otherNear {
+		return near
+	}
+	return p.revision > other.revision
+}
+
+// noteDifference remembers since when this host's targets differ from those of
+// every host heard.
+func (s *Steerer) noteDifference(agrees bool) {
+	switch {
+	case agrees:
+		s.asking.differsSince = 0
+	case s.asking.differsSince == 0:
+		s.asking.differsSince = s.now
+	}
+}
+
+// lacksTargets reports whether others should be asked for their targets.
+func (s *Steerer) lacksTargets() bool {
+	differs := s.asking.differsSince != 0 && s.asking.differsSince.Add(askPatience).Passed(s.now)
+	return s.targetsRevision == 0 || differs
+}
+
 // version is that of the settings in force; 0 without any.
 func (s *Steerer) version() uint64 {
 	if s.settings == nil {
@@ -119,12 +149,15 @@
 	k := &messenger.Knowledge{
 		Version:     s.version(),
 		SettingsAge: age(s.now, s.reading.settings.confirmed),
-		Revision:    s.targetsRevision,
-		TargetsAge:  age(s.now, s.reading.targets.confirmed),
 	}
 	if k.Version > request.Above {
 		k.Document = s.document
 	}
+	if !request.Targets {
+		return k
+	}
+	k.Revision = s.targetsRevision
+	k.TargetsAge = age(s.now, s.reading.targets.confirmed)
 	for _, t := range s.targets.ordered() {
 		k.Targets = append(k.Targets, t.state(s.now))
 	}
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -1,5 +1,7 @@
 package steerer
 
+import "time"
+
 // Count names something that a host counts.
 type Count uint8
 
@@ -49,11 +51,19 @@
 	Unreachable int
 	Peers       int
 	Version     uint64
+	// SettingsAge and TargetsAge tell for how long settings and targets have not
+	// been confirmed.
+	SettingsAge time.Duration
+	TargetsAge  time.Duration
+	Ready       bool
 }
 
 // Snapshot returns the present figures.
 func (s *Steerer) Snapshot() Snapshot {
 	snapshot := Snapshot{Counts: s.counts, Flows: len(s.flows), Targets: len(s.targets.byID), Peers: len(s.peers.byName), Version: s.version()}
+	snapshot.SettingsAge = age(s.now, s.reading.settings.confirmed)
+	snapshot.TargetsAge = age(s.now, s.reading.targets.confirmed)
+	snapshot.Ready = s.Ready()
 	for _, t := range s.targets.byID {
 		if t.health.unreachable() {
 			snapshot.Unreachable++
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -153,6 +153,7 @@
 	h.steerer = steerer.New(steerer.Config{
 		Self: name, Address: h.address, AvailabilityZone: name[:1], Seeds: seeds,
 		Incarnation: h.starts, Seed: h.starts, MaxFlows: 10_000, Start: f.now,
+		SettingsWithin: 3 * time.Second, DrainingWithin: 3 * time.Second,
 	})
 	f.reduce(name, &steerer.Tick{})
 }
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -12,31 +12,45 @@
 )
 
 const (
-	// reportEvery is the time between two reports to hosts of the own zone, which
-	// need each other's load.
+	// reportEvery is the time between two rounds of reports, and between two
+	// reports to a host of the own zone in a small fleet.
 	reportEvery = 250 * time.Millisecond
-	// farReportEvery is the time between two reports to hosts of other zones,
-	// where traffic is priced. It stays below readRankStep: a host that waits for
-	// another's read must hear of it in time.
+	// farReportEvery is the time between two reports to a host of another zone in
+	// a small fleet; traffic between zones is priced. It stays below readRankStep:
+	// a host that waits for another's read must hear of it in time.
 	farReportEvery = 300 * time.Millisecond
-	// maxReportsAtOnce bounds the hosts that are told in one round, so that the
-	// control traffic of a host does not grow with the fleet. News spreads from
-	// host to host in as many rounds as the fleet has digits to this base.
-	maxReportsAtOnce = 8
+	// smallFleet is how many other hosts a host tells one by one. In a larger fleet
+	// it tells reportFanout of them a round, half of them in its own zone, so that
+	// its control traffic does not grow with the fleet: 16 reports a second of
+	// some 400 bytes. News then takes about as many rounds as the fleet has digits
+	// to the base of reportFanout + 1.
+	smallFleet   = 12
+	reportFanout = 4
 	// maxChanges bounds the changes in a report, so that it fits a datagram.
 	maxChanges = 10
 	// changeMemory is how long a change is repeated in reports.
 	changeMemory = 3 * time.Second
-	// peerSilence is after how long a silent host no longer counts. Two reports
-	// in a row may be lost.
+	// peerSilence is after how long a silent host is not asked any more. Two
+	// reports in a row may be lost.
 	peerSilence = time.Second
-	// peerMemory is after how long a silent host is forgotten.
+	// busyMemory is how long a host's load counts. Requests take some 50 ms, so
+	// older figures tell of others.
+	busyMemory = 600 * time.Millisecond
+	// peerMemory is after how long a host that nobody mentions is forgotten.
 	peerMemory = 60 * time.Second
-	// seedEvery is the time between two reports to a seed address from which
-	// nothing has been heard.
+	// mentionSilence is after how long a host that nobody mentions does not count
+	// for rank, in a small fleet. A larger one mentions each host more rarely, by
+	// maxHints in each of some 16 reports a second.
+	mentionSilence  = time.Second
+	mentionsASecond = 4 * reportFanout * maxHints
+	// mentionsMissed is how many mentions must fail to come: one in e^8 hosts that
+	// live is missed.
+	mentionsMissed = 8
+	// seedEvery is the time between two reports to an address from which nothing
+	// is heard.
 	seedEvery = time.Second
 	// maxHints bounds the hosts that a report names.
-	maxHints = 4
+	maxHints = 8
 )
 
 // peer is what a host knows of another.
@@ -47,8 +61,9 @@
 	incarnation uint64
 	leaving     bool
 	// heard is when its last report came; 0 if it is known by name only.
-	heard        timekeeper.Instant
-	mentioned    timekeeper.Instant
+	heard timekeeper.Instant
+	// lives is when it last reported, or a host mentioned that it had.
+	lives        timekeeper.Instant
 	nextDeadline timekeeper.Instant
 	busy         map[uint32]uint16
 	// version and revision are what the host had in force at its last report,
@@ -72,8 +87,10 @@
 	news    bool
 	changes []change
 	seeds   map[netip.AddrPort]timekeeper.Instant
-	// turn is where the next round begins in a large fleet.
-	turn int
+	// roundDeadline is when the next round of a larger fleet begins, order and
+	// turn whom it tells.
+	roundDeadline timekeeper.Instant
+	order         []*peer
 }
 
 func newPeers() peers {
@@ -102,12 +119,17 @@
 	return p.heard != 0 && !p.leaving && now.Since(p.heard) < peerSilence
 }
 
-// rank is the place of this host among those that it hears.
+// rank is the place of this host among those that live as far as it knows.
 func (s *Steerer) rank() int {
 	rank := 0
 	own := xxhash.Sum64String(s.config.Self)
-	for _, p := range s.peers.ordered() {
-		if p.hears(s.now) && xxhash.Sum64String(p.name) < own {
+	all := s.peers.ordered()
+	silence := mentionSilence
+	if len(all) > smallFleet {
+		silence = max(silence, time.Second*mentionsMissed*time.Duration(len(all))/mentionsASecond)
+	}
+	for _, p := range all {
+		if p.lives != 0 && !p.leaving && s.now.Since(p.lives) < silence && xxhash.Sum64String(p.name) < own {
 			rank++
 		}
 	}
@@ -123,8 +145,8 @@
 	if r.Incarnation < p.incarnation {
 		return
 	}
-	if p.heard == 0 || !p.hears(s.now) {
-		s.log("peerHeard", Field{"peer", p.name}, Field{"zone", r.AvailabilityZone})
+	if p.heard == 0 || s.now.Since(p.heard) > peerMemory || p.incarnation != r.Incarnation {
+		s.log("peerHeard", Field{"peer", p.name}, Field{"zone", r.AvailabilityZone}, Field{"incarnation", utoa(r.Incarnation)}, Field{"version", utoa(r.Version)})
 		p.nextDeadline = 0 // It may know nothing yet, so it is answered at once.
 	}
 	p.address = r.Address
@@ -143,7 +165,9 @@
 	}
 	s.compareSettings(r)
 	s.compareTargets(r, p.name)
-	s.reportIfDue(p)
+	if p.nextDeadline == 0 {
+		s.reportIfDue(p)
+	}
 	s.askingTick()
 }
 
@@ -155,7 +179,7 @@
 		s.peers.byName[name] = p
 		s.peers.sorted = nil
 	}
-	p.mentioned = s.now
+	p.lives = s.now
 	return p
 }
 
@@ -178,7 +202,7 @@
 func (s *Steerer) compareSettings(r *messenger.Report) {
 	switch {
 	case r.Version > s.version():
-		s.reading.settings.urgent = true
+		s.noteBehind()
 	case r.Version == s.version() && r.Version != 0:
 		s.confirm(&s.reading.settings, r.SettingsAge)
 	}
@@ -231,35 +255,64 @@
 func (s *Steerer) peersTick() {
 	p := &s.peers
 	p.changes = slices.DeleteFunc(p.changes, func(c change) bool { return c.deadline.Passed(s.now) })
-	for name, one := range p.byName {
-		if s.now.Since(one.mentioned) > peerMemory {
-			s.takeBusy(one, nil)
-			delete(p.byName, name)
-			p.sorted = nil
+	s.forgetPeers()
+	all := p.ordered()
+	switch {
+	case len(all) <= smallFleet:
+		for _, one := range all {
+			s.reportIfDue(one)
 		}
+	case p.news || p.roundDeadline.Passed(s.now):
+		p.roundDeadline = s.now.Add(reportEvery)
+		s.reportRound(all)
 	}
-	sent := 0
-	all := p.ordered()
-	for i := range all {
-		one := all[(i+p.turn)%len(all)]
-		if sent == maxReportsAtOnce {
-			break
+	p.news = false
+	s.reportToSeeds()
+}
+
+// forgetPeers drops what is known of hosts that fell silent.
+func (s *Steerer) forgetPeers() {
+	for _, p := range s.peers.ordered() {
+		if len(p.busy) > 0 && s.now.Since(p.heard) > busyMemory {
+			s.takeBusy(p, nil)
 		}
-		if s.reportIfDue(one) {
-			sent++
+		if s.now.Since(p.lives) > peerMemory {
+			delete(s.peers.byName, p.name)
+			s.peers.sorted = nil
 		}
 	}
-	if len(all) > 0 {
-		p.turn = (p.turn + sent) % len(all)
+}
+
+// reportRound tells some hosts of a larger fleet, each as often as the others:
+// half of them in the own zone, where loads matter, half anywhere.
+func (s *Steerer) reportRound(all []*peer) {
+	p := &s.peers
+	told := 0
+	for home := range 2 {
+		for n := 0; n < len(all) && told < (home+1)*reportFanout/2; n++ {
+			if len(p.order) == 0 {
+				p.order = slices.Clone(all)
+				s.random.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+			}
+			at := slices.IndexFunc(p.order, func(one *peer) bool { return home == 1 || one.zone == s.config.AvailabilityZone })
+			if at < 0 {
+				break
+			}
+			one := p.order[at]
+			p.order = slices.Delete(p.order, at, at+1)
+			if one.leaving || s.peers.byName[one.name] != one {
+				continue
+			}
+			s.sendReport(one)
+			told++
+		}
 	}
-	p.news = false
-	s.reportToSeeds()
 }
 
 // reportIfDue sends a host a report if it is time or if there is news.
-func (s *Steerer) reportIfDue(p *peer) bool {
-	if p.leaving {
-		return false
+func (s *Steerer) reportIfDue(p *peer) {
+	if p.leaving || (!p.nextDeadline.Passed(s.now) && !s.peers.news) {
+		return
 	}
 	every := farReportEvery
 	if p.zone == s.config.AvailabilityZone {
@@ -267,17 +320,14 @@
 	}
 	if !p.hears(s.now) {
 		every = seedEvery
-		if p.heard != 0 && s.now.Since(p.heard) > peerSilence && len(p.busy) > 0 {
-			s.takeBusy(p, nil)
-		}
-	}
-	if !p.nextDeadline.Passed(s.now) && !s.peers.news {
-		return false
 	}
 	p.nextDeadline = s.now.Add(every)
+	s.sendReport(p)
+}
+
+func (s *Steerer) sendReport(p *peer) {
 	s.counts.add(ReportsSent)
 	s.emit(&SendReport{Host: p.name, Address: p.address, Report: s.report(p)})
-	return true
 }
 
 // reportToSeeds reports to seed addresses at which no known host is.
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -4,20 +4,28 @@
 	"time"
 
 	"cranberryspan.dev/core/timekeeper"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// readEvery is how old the knowledge of the fleet may grow before its first
-	// reader asks the platform again. Settings must be in force within 3 s and
-	// draining targets be known within 3 s; a second leaves room for the read, the
-	// report to the other hosts, and one of both that gets lost.
-	readEvery = 900 * time.Millisecond
+	// readShare is the part of the time within which changes must be known that
+	// the fleet's knowledge may grow old before its first reader asks the platform
+	// again. The rest is for the read, the way from host to host, and one of both
+	// that gets lost.
+	readShare = 0.3
 	// readRankStep is how much longer each further host waits. It exceeds the
 	// time between two reports, so that a host sees the result of the one before
 	// it and does not read itself.
 	readRankStep = 350 * time.Millisecond
-	// readAtLatest is the age at which every host reads for itself.
-	readAtLatest = 1800 * time.Millisecond
+	// latestShare and latestSpread say when a host reads for itself however many
+	// come before it: from 0.6 to 0.8 of the time, each host at its own part, so
+	// that a fleet whose readers died does not read all at once.
+	latestShare  = 0.6
+	latestSpread = 0.2
+	// firstStartPatience is how long a host waits for others to tell it all when the
+	// whole fleet starts for the first time. Nobody needs it yet, and a large fleet
+	// would call the platform twice for each host.
+	firstStartPatience = 2 * time.Second
 	// firstReadBackoff and maxReadBackoff bound the pause after a failed read.
 	firstReadBackoff = 150 * time.Millisecond
 	maxReadBackoff   = 1200 * time.Millisecond
@@ -48,6 +56,12 @@
 	returnedAt timekeeper.Instant
 }
 
+// wait puts the first reads off.
+func (r *reading) wait(until timekeeper.Instant) {
+	r.settings.retryDeadline = until
+	r.targets.retryDeadline = until
+}
+
 // due reports whether a source is to be read now.
 func (src *source) due(now timekeeper.Instant, patience time.Duration) bool {
 	if src.reading || !src.retryDeadline.Passed(now) {
@@ -86,19 +100,28 @@
 // all learn from its reports. A host that hears nothing new, because readers
 // died, were cut off or are turned away, reads for itself.
 func (s *Steerer) readingTick() {
-	patience := min(readEvery+time.Duration(s.rank())*readRankStep, readAtLatest)
-	if s.reading.settings.due(s.now, patience) {
+	rank := s.rank()
+	if s.reading.settings.due(s.now, s.patience(rank, s.config.SettingsWithin)) {
 		s.reading.settings.begin()
 		s.counts.add(SettingsReads)
 		s.emit(&ReadSettings{})
 	}
-	if s.reading.targets.due(s.now, patience) {
+	if s.reading.targets.due(s.now, s.patience(rank, s.config.DrainingWithin)) {
 		s.reading.targets.begin()
 		s.counts.add(TargetsReads)
 		s.emit(&ReadTargets{})
 	}
 }
 
+// patience is how old this host's knowledge may grow before it reads, if changes
+// must be known within a time.
+func (s *Steerer) patience(rank int, within time.Duration) time.Duration {
+	own := float64(xxhash.Sum64String(s.config.Self)>>32) / (1 << 32)
+	latest := time.Duration(float64(within) * (latestShare + latestSpread*own))
+	first := time.Duration(float64(within) * readShare)
+	return min(first+time.Duration(rank)*readRankStep, latest)
+}
+
 // noteRead logs when the platform is lost and regained.
 func (s *Steerer) noteRead(what string, err error) {
 	r := &s.reading
@@ -142,6 +165,7 @@
 	}
 	s.settings = settings
 	s.document = document
+	s.asking.behindSince = 0
 	s.log("settingsAdopted", Field{"version", utoa(settings.Version)}, Field{"routes", itoa(len(settings.Routes))}, Field{"from", from})
 	s.peers.news = true
 }
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -16,6 +16,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"cranberryspan.dev/core/timekeeper"
@@ -37,6 +38,13 @@
 	Incarnation uint64
 	// Seed makes every random choice repeatable.
 	Seed uint64
+	// FirstStart says that the whole fleet starts for the first time, before any
+	// traffic.
+	FirstStart bool
+	// SettingsWithin and DrainingWithin are the times within which this host has to
+	// know new settings, and targets that drain.
+	SettingsWithin time.Duration
+	DrainingWithin time.Duration
 	// MaxFlows bounds the flows that are remembered.
 	MaxFlows int
 	Start    timekeeper.Instant
@@ -83,6 +91,9 @@
 		peers:   newPeers(),
 	}
 	s.pause.lastTick = config.Start
+	if config.FirstStart && !slices.Contains(config.Seeds, config.Address) {
+		s.reading.wait(config.Start.Add(firstStartPatience))
+	}
 	return s
 }
 
