A starting host takes no packets before it knows the others; soak of real hosts

Cause: answers that the fabric hands to a host which has heard nobody go straight to their callers; the owners, which sent the requests, keep a place at the target taken until the deadline (traced in one of seven runs of TestRollingReplacement). Change: a host withdraws from the fabric for up to a second until it knows how the others are. Loader tells of failed checks too.

The flow edge's stand-ins (store, routers, targets, callers) and a soak that runs real hosts under signals, proxies and a store in trouble.

--- a/balancer/internal/configurer/flows.go
+++ b/balancer/internal/configurer/flows.go
@@ -17,10 +17,12 @@
 	Name             string `yaml:"name"`
 	AvailabilityZone string `yaml:"availabilityZone"`
 	Address          string `yaml:"address"`
-	PacketAddress    string `yaml:"packetAddress"`
-	ReadyAddress     string `yaml:"readyAddress"`
-	AdminAddress     string `yaml:"adminAddress"`
-	Platform         string `yaml:"platform"`
+	// AdvertisedAddress may be left out.
+	AdvertisedAddress string `yaml:"advertisedAddress"`
+	PacketAddress     string `yaml:"packetAddress"`
+	ReadyAddress      string `yaml:"readyAddress"`
+	AdminAddress      string `yaml:"adminAddress"`
+	Platform          string `yaml:"platform"`
 	// Seeds is a list such as "10.0.0.2:7000,10.0.1.1:7000".
 	Seeds           string   `yaml:"seeds"`
 	PeerKeys        []string `yaml:"peerKeys"`
@@ -39,6 +41,9 @@
 	AvailabilityZone string
 	// Address takes reports from other hosts, over UDP.
 	Address netip.AddrPort
+	// AdvertisedAddress is where other hosts reach Address, if that is translated
+	// on the way.
+	AdvertisedAddress netip.AddrPort
 	// PacketAddress takes packets from the fabric, over UDP.
 	PacketAddress netip.AddrPort
 	// ReadyAddress answers the fabric's readiness checks, over HTTP.
@@ -116,12 +121,16 @@
 	case t.Forwarding != forwardingEcho:
 		return FlowConfig{}, invalid("forwarding: %q is not known; only %q is", t.Forwarding, forwardingEcho)
 	}
+	if t.AdvertisedAddress == "" {
+		t.AdvertisedAddress = t.Address
+	}
 	for _, a := range []struct {
 		key  string
 		text string
 		into *netip.AddrPort
 	}{
 		{"address", t.Address, &config.Address},
+		{"advertisedAddress", t.AdvertisedAddress, &config.AdvertisedAddress},
 		{"packetAddress", t.PacketAddress, &config.PacketAddress},
 		{"readyAddress", t.ReadyAddress, &config.ReadyAddress},
 		{"adminAddress", t.AdminAddress, &config.AdminAddress},
--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -80,7 +80,7 @@
 	incarnation := uint64(r.start.UnixMilli())
 	r.steerer = steerer.New(steerer.Config{
 		Self:             config.Name,
-		Address:          config.Address,
+		Address:          config.AdvertisedAddress,
 		AvailabilityZone: config.AvailabilityZone,
 		Seeds:            config.Seeds,
 		Incarnation:      incarnation,
--- a/core/reducer/joining.go
+++ b/core/reducer/joining.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"time"
+
 	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/timekeeper"
 )
@@ -125,5 +127,30 @@
 // that joins takes packets already: it forwards them, and serves what may run
 // twice. An isolated host withdraws, since others can do more.
 func (r *Reducer) Accepting() bool {
-	return r.settings != nil && !r.shutdown && !r.isolated()
+	return r.settings != nil && !r.shutdown && !r.isolated() && r.knowsOthers()
+}
+
+// acquaintanceSpan is how long a host that starts waits to hear the others: two
+// rounds of heartbeats, and the pause after which others dial it again. Those
+// that are down stay unheard.
+const acquaintanceSpan = time.Second
+
+// knowsOthers reports whether this host knows how the others are, or has waited
+// for them long enough.
+//
+// What goes wrong otherwise: a host that has heard nobody takes itself for the
+// only one. Answers that the fabric hands it go straight to their callers, and
+// the owners of their flows, which sent the requests, wait for them until their
+// deadline with a place at the target taken. One notices by uploads that are
+// answered "unknown" while hosts are replaced.
+func (r *Reducer) knowsOthers() bool {
+	if r.startedAt.Add(acquaintanceSpan).Passed(r.now) {
+		return true
+	}
+	for _, name := range r.detector.Others() {
+		if r.detector.State(name).Liveness == messenger.LivenessUnknown {
+			return false
+		}
+	}
+	return true
 }
--- a/core/reducer/leaving_test.go
+++ b/core/reducer/leaving_test.go
@@ -211,3 +211,38 @@
 	f.Step(6 * time.Second)
 	require.Empty(t, f.Replies)
 }
+
+// Symptom: as above, once more. Sequence: a host starts and is handed answers
+// before it has heard any other; it takes itself for the only one and delivers
+// them. Cause: the flows' owners never see these answers and keep the places
+// taken until their requests' deadline.
+func TestStartingHostTakesNoPacketsBeforeItKnowsTheOthers(t *testing.T) {
+	tree := sicily()
+	tree.Defaults = []string{"exchangeLifetime: 10s", "flowMemory: 5m", "slots: 2"}
+	f := newFleet(t, tree)
+	f.Kill("a1")
+	f.Step(4 * time.Second)
+	f.Split("a1") // Others dial a host that has just come back only after a pause.
+	f.Start("a1")
+	const flows = 40
+	number := 0
+	for round := range 30 {
+		if round == 8 {
+			f.Join("a1")
+		}
+		number++
+		for n := range flows {
+			f.Call("", call(n, 2, number), request(openRead|isBlock))
+		}
+		f.Step(40 * time.Millisecond)
+	}
+	f.Step(time.Second)
+	for i := 1; i <= number; i++ {
+		for n := range flows {
+			require.True(t, answered(f, call(n, 2, i)), "request %d of caller %d", i, n)
+		}
+	}
+	f.Step(6 * time.Second)
+	require.Empty(t, f.Replies)
+	require.True(t, f.Reducer("a1").Accepting())
+}
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -46,9 +46,10 @@
 
 // Reducer is the state of one host. It is not safe for concurrent use.
 type Reducer struct {
-	self   string
-	now    timekeeper.Instant
-	random *rand.Rand
+	self      string
+	now       timekeeper.Instant
+	startedAt timekeeper.Instant
+	random    *rand.Rand
 
 	settings *resolver.Settings
 	document []byte
@@ -119,6 +120,7 @@
 	r := &Reducer{
 		self:          config.Self,
 		now:           config.Start,
+		startedAt:     config.Start,
 		seeds:         config.Seeds,
 		random:        rand.New(rand.NewPCG(config.Seed, config.Incarnation)),
 		rankers:       map[string]placer.Ranker{},
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -93,6 +93,7 @@
 without "asking other hosts at the start" reducer/adoption.go 'if len(r.seeds) == 0 ||' 'if true ||' TestRevisionIsInForceEverywhereAndStays
 without "few watchers" reducer/adoption.go 'watch := !ok || ahead < watchersPerZone' 'watch := !ok || ahead >= 0' TestFewHostsOfAZoneRead
 without "a fallback that keeps nothing" reducer/request.go 'if role == roleFallback {' 'if false {' TestHostWithoutPeersKeepsNoPlacesTaken
+without "the wait for other hosts" reducer/joining.go 'if r.startedAt.Add(acquaintanceSpan).Passed(r.now) {' 'if true {' TestStartingHostTakesNoPacketsBeforeItKnowsTheOthers
 
 package=steerer
 without "the target's tag" steerer/steering.go 'to, ok := s.targets.byTag[p.Tag]' 'to, ok := s.choose("ledger", key, nil), true' 'TestFlowStaysOnItsTargetAtAnyHost|TestFleetAgainstOracle'
--- /dev/null
+++ b/standin/internal/answerer/answerer.go
@@ -0,0 +1,360 @@
+// Package answerer stands in for targets that answer callers directly.
+//
+// A request is a line "ID KIND LENGTH" and LENGTH bytes; an ID begins with the
+// name of the service that it is for. The answer is a line "ID ok LENGTH" and
+// LENGTH bytes; "last" in place of "ok" asks the caller to open another flow next,
+// as a target that drains does.
+package answerer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"cranberryspan.dev/platform/platformtest"
+	"cranberryspan.dev/standin/internal/transporter"
+)
+
+// Error is the one error type of this package.
+type Error struct {
+	Op  string
+	Err error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	maxDatagram = 2048
+	tickEvery   = 20 * time.Millisecond
+	// answerBytes is the size of an answer.
+	answerBytes = 1500
+	firstSeq    = 7000
+)
+
+// Record is what all targets of a test saw.
+type Record struct {
+	mu       sync.Mutex
+	runs     map[string]int
+	problems []string
+	// opened names the target at which a flow opened, by the caller's address.
+	opened map[netip.AddrPort]string
+}
+
+// NewRecord makes an empty record.
+func NewRecord() *Record {
+	return &Record{runs: map[string]int{}, opened: map[netip.AddrPort]string{}}
+}
+
+// Runs tells how often a request ran.
+func (r *Record) Runs(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// Problems lists what must not happen at a target.
+func (r *Record) Problems() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.problems...)
+}
+
+// OpenedAt names the target of an open flow.
+func (r *Record) OpenedAt(caller netip.AddrPort) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opened[caller]
+}
+
+func (r *Record) problem(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.problems = append(r.problems, fmt.Sprintf(format, args...))
+}
+
+// Config says how a target behaves.
+type Config struct {
+	Entry platformtest.Target
+	// Work is how long a request takes.
+	Work time.Duration
+	// PacketPort is the port at which callers take packets.
+	PacketPort uint16
+	// DrainLimit is how long after it began to drain a target may get new flows.
+	DrainLimit time.Duration
+}
+
+// Target is one target.
+type Target struct {
+	config Config
+	number steerer.Number
+	record *Record
+	conn   *net.UDPConn
+	http   *http.Server
+
+	mu    sync.Mutex
+	flows map[flowKey]*flow
+	// dark targets take nothing in and send nothing.
+	dark          bool
+	drainingSince time.Time
+	calm          func() bool
+	work          chan job
+}
+
+type flowKey struct{ caller, service netip.AddrPort }
+
+type flow struct {
+	end    *transporter.End
+	key    flowKey
+	echo   uint32
+	buffer []byte
+	open   bool
+}
+
+type job struct {
+	f  *flow
+	id string
+}
+
+// New starts a target. calm tells whether nothing keeps news from hosts.
+func New(ctx context.Context, config Config, record *Record, calm func() bool) (*Target, error) {
+	number, ok := steerer.NumberOf(config.Entry.ID)
+	if !ok {
+		return nil, &Error{Op: "start target", Err: fmt.Errorf("ID %q has no hex digits", config.Entry.ID)}
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Entry.Address))
+	if err != nil {
+		return nil, &Error{Op: "start target", Err: err}
+	}
+	listener, err := net.Listen("tcp4", config.Entry.Address.String())
+	if err != nil {
+		_ = conn.Close()
+		return nil, &Error{Op: "start target", Err: err}
+	}
+	t := &Target{config: config, number: number, record: record, conn: conn, flows: map[flowKey]*flow{}, calm: calm, work: make(chan job, 64)}
+	t.http = &http.Server{Handler: http.HandlerFunc(t.health), ReadHeaderTimeout: time.Second}
+	go func() { _ = t.http.Serve(listener) }() // It ends with Stop.
+	go t.read()
+	go t.tick(ctx)
+	for range config.Entry.Slots {
+		go t.run(ctx)
+	}
+	return t, nil
+}
+
+// Entry is how the target registers itself.
+func (t *Target) Entry() platformtest.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.config.Entry
+}
+
+// Stop ends the target at once, as a crash does.
+func (t *Target) Stop() {
+	t.Darken()
+	_ = t.conn.Close()
+	_ = t.http.Close()
+}
+
+// Darken makes the target silent.
+func (t *Target) Darken() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dark = true
+}
+
+// Lives reports whether the target answers.
+func (t *Target) Lives() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.dark
+}
+
+// Drain notes that the target has said that it drains.
+func (t *Target) Drain() platformtest.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drainingSince = time.Now()
+	t.config.Entry.Draining = true
+	return t.config.Entry
+}
+
+func (t *Target) health(w http.ResponseWriter, r *http.Request) {
+	if !t.Lives() {
+		<-r.Context().Done()
+		return
+	}
+	w.Header().Set(platformtest.InstanceHeader, t.config.Entry.ID)
+}
+
+func (t *Target) read() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := t.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // An earlier packet came back undeliverable.
+		}
+		number, p, ok := platformtest.DecodeForTarget(append([]byte(nil), buffer[:n]...))
+		if !ok || !p.Genuine {
+			t.record.problem("%s got a packet that its sender did not write", t.config.Entry.ID)
+			continue
+		}
+		if number == uint64(t.number) {
+			t.handle(p)
+		}
+	}
+}
+
+func (t *Target) handle(p platformtest.Packet) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dark {
+		return
+	}
+	key := flowKey{p.From, p.To}
+	f := t.flows[key]
+	switch {
+	case p.Flags&platformtest.FlagOpen != 0:
+		t.opening(key, f, p)
+	case f == nil:
+		t.send(key, 0, platformtest.FlagReset, 0, p.Ack, nil)
+	case p.Flags&platformtest.FlagReset != 0:
+		delete(t.flows, key)
+	default:
+		t.later(f, p)
+	}
+}
+
+func (t *Target) opening(key flowKey, f *flow, p platformtest.Packet) {
+	if f == nil {
+		f = &flow{key: key}
+		f.end = transporter.New(firstSeq+1, p.Seq+1, func(flags byte, seq, ack uint32, data []byte) {
+			t.send(key, f.echo, flags, seq, ack, data)
+		})
+		t.flows[key] = f
+		if late := t.drainingSince.Add(t.config.DrainLimit); t.config.Entry.Draining && time.Now().After(late) && t.calm() {
+			t.record.problem("%s got a new flow %s after it began to drain", t.config.Entry.ID, time.Since(t.drainingSince))
+		}
+	}
+	f.echo = p.Echo
+	t.send(key, f.echo, platformtest.FlagOpen|platformtest.FlagAck, firstSeq, p.Seq+1, nil)
+}
+
+func (t *Target) later(f *flow, p platformtest.Packet) {
+	f.echo = p.Echo
+	if !f.open {
+		f.open = true
+		t.record.mu.Lock()
+		t.record.opened[f.key.caller] = t.config.Entry.ID
+		t.record.mu.Unlock()
+	}
+	f.buffer = append(f.buffer, f.end.Receive(p, time.Now())...)
+	id, whole := t.request(f)
+	if !whole {
+		return
+	}
+	select {
+	case t.work <- job{f: f, id: id}:
+	default:
+		f.end.Write([]byte(id+" shed 0\n"), time.Now())
+	}
+}
+
+// request takes a whole request out of a flow's bytes.
+func (t *Target) request(f *flow) (id string, whole bool) {
+	at := bytes.IndexByte(f.buffer, '\n')
+	if at < 0 {
+		return "", false
+	}
+	var kind string
+	var length int
+	if _, err := fmt.Sscanf(string(f.buffer[:at]), "%s %s %d", &id, &kind, &length); err != nil {
+		t.record.problem("%s got a request that nobody wrote: %q", t.config.Entry.ID, f.buffer[:at])
+		f.buffer = nil
+		return "", false
+	}
+	if len(f.buffer) < at+1+length {
+		return "", false
+	}
+	f.buffer = f.buffer[at+1+length:]
+	return id, true
+}
+
+func (t *Target) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-t.work:
+			t.runOne(ctx, j)
+		}
+	}
+}
+
+func (t *Target) runOne(ctx context.Context, j job) {
+	t.record.mu.Lock()
+	t.record.runs[j.id]++
+	t.record.mu.Unlock()
+	if service, _, _ := strings.Cut(j.id, "/"); service != t.config.Entry.Service {
+		t.record.problem("%s of %s ran %s", t.config.Entry.ID, t.config.Entry.Service, j.id)
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(t.config.Work):
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dark {
+		return
+	}
+	word := "ok"
+	if t.config.Entry.Draining {
+		word = "last"
+	}
+	answer := append(fmt.Appendf(nil, "%s %s %d\n", j.id, word, answerBytes), make([]byte, answerBytes)...)
+	j.f.end.Write(answer, time.Now())
+}
+
+func (t *Target) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case now := <-ticker.C:
+			t.mu.Lock()
+			for key, f := range t.flows {
+				if !t.dark && f.end.Tick(now) {
+					delete(t.flows, key)
+				}
+			}
+			t.mu.Unlock()
+		}
+	}
+}
+
+// send sends a packet to a caller, in the name of the service.
+func (t *Target) send(key flowKey, echo uint32, flags byte, seq, ack uint32, data []byte) {
+	if t.dark {
+		return
+	}
+	p := platformtest.Encode(platformtest.Packet{From: key.service, To: key.caller, Echo: echo, Flags: flags, Seq: seq, Ack: ack, Data: data})
+	to := netip.AddrPortFrom(key.caller.Addr(), t.config.PacketPort)
+	_, _ = t.conn.WriteToUDPAddrPort(p, to) // A packet that is not sent is repeated.
+}
--- a/standin/internal/loader/loader.go
+++ b/standin/internal/loader/loader.go
@@ -196,6 +196,8 @@
 	m, err := c.do(ctx, request{code: codes.POST, path: "/" + string(work.Kind), payload: []byte(id), observe: noObserve})
 	if err == nil && m.Code == codes.Changed && strings.HasSuffix(string(m.Payload), " "+id) {
 		l.recorder.latency(work.Kind, time.Since(began))
+	} else {
+		l.recorder.problem("%s %s: code %v, %q, error %v", work.Kind, id, m.Code, m.Payload, err)
 	}
 	l.recorder.add(work.Kind, func(t *Tally) { t.judge(m, err, id) })
 }
--- /dev/null
+++ b/standin/internal/soaker/faults.go
@@ -0,0 +1,222 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+
+	"cranberryspan.dev/platform/platformtest"
+	"cranberryspan.dev/standin/internal/router"
+)
+
+// fault is one kind of trouble. It returns when the trouble is over.
+type fault struct {
+	name string
+	// quiet faults keep no news from hosts, so promises with a time still hold.
+	quiet bool
+	run   func(ctx context.Context, s *soak) string
+}
+
+// faults lists every kind of trouble that a run may bring.
+var faults = []fault{
+	{"terminate", false, terminate},
+	{"kill", false, kill},
+	{"pause", false, pause},
+	{"killMany", false, killMany},
+	{"store", false, harmStore},
+	{"storeForAll", false, harmStoreForAll},
+	{"peers", false, harmPeers},
+	{"packets", false, harmPackets},
+	{"crashTarget", true, crashTarget},
+	{"reuseAddress", true, reuseAddress},
+	{"replaceTarget", true, replaceTarget},
+	{"publish", true, publish},
+	{"reload", true, reload},
+}
+
+func (s *soak) host() *process { return s.fleet.hosts[s.pick(len(s.fleet.hosts))] }
+
+func (s *soak) span(most time.Duration) time.Duration {
+	return time.Duration(s.float() * float64(most))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func terminate(ctx context.Context, s *soak) string {
+	h := s.host()
+	h.signal(syscall.SIGTERM)
+	if !h.ended(6 * time.Second) {
+		s.fleet.problem("%s did not end within 6 s of SIGTERM", h.Name)
+		h.signal(syscall.SIGKILL)
+		h.ended(time.Second)
+	}
+	s.start(h)
+	return h.Name
+}
+
+func (s *soak) start(h *process) {
+	if err := s.fleet.start(h); err != nil {
+		s.fleet.problem("start %s: %v", h.Name, err)
+	}
+}
+
+func kill(ctx context.Context, s *soak) string {
+	h, down := s.host(), s.span(1500*time.Millisecond)
+	h.signal(syscall.SIGKILL)
+	h.ended(time.Second)
+	wait(ctx, down)
+	s.start(h)
+	return fmt.Sprintf("%s for %s", h.Name, down)
+}
+
+// killMany kills all hosts but the first at once.
+func killMany(ctx context.Context, s *soak) string {
+	down := s.span(800 * time.Millisecond)
+	for _, h := range s.fleet.hosts[1:] {
+		h.signal(syscall.SIGKILL)
+	}
+	wait(ctx, down)
+	for _, h := range s.fleet.hosts[1:] {
+		h.ended(time.Second)
+		s.start(h)
+	}
+	return down.String()
+}
+
+func pause(ctx context.Context, s *soak) string {
+	h, still := s.host(), s.span(3*time.Second)
+	h.signal(syscall.SIGSTOP)
+	wait(ctx, still)
+	h.signal(syscall.SIGCONT)
+	return fmt.Sprintf("%s for %s", h.Name, still)
+}
+
+func (s *soak) mode() platformtest.Mode {
+	return platformtest.Mode(1 + s.pick(3))
+}
+
+func harmStore(ctx context.Context, s *soak) string {
+	h, mode, span := s.host(), s.mode(), s.span(5*time.Second)
+	s.fleet.store.Treat(h.Name, mode)
+	wait(ctx, span)
+	s.fleet.store.Treat(h.Name, platformtest.ModeServing)
+	return fmt.Sprintf("%s mode %d for %s", h.Name, mode, span)
+}
+
+func harmStoreForAll(ctx context.Context, s *soak) string {
+	mode, span := s.mode(), s.span(5*time.Second)
+	for _, h := range s.fleet.hosts {
+		s.fleet.store.Treat(h.Name, mode)
+	}
+	wait(ctx, span)
+	for _, h := range s.fleet.hosts {
+		s.fleet.store.Treat(h.Name, platformtest.ModeServing)
+	}
+	return fmt.Sprintf("mode %d for %s", mode, span)
+}
+
+// harmPeers harms what one host hears of some others, one way.
+func harmPeers(ctx context.Context, s *soak) string {
+	h, span := s.host(), s.span(4*time.Second)
+	harm := []Harm{{Drop: true}, {Delay: 400 * time.Millisecond}, {Reset: true}}[s.pick(3)]
+	for _, other := range s.fleet.hosts {
+		if s.pick(3) > 0 {
+			h.proxy.harm(other.real, harm)
+		}
+	}
+	wait(ctx, span)
+	for _, other := range s.fleet.hosts {
+		h.proxy.harm(other.real, Harm{})
+	}
+	return fmt.Sprintf("%s %+v for %s", h.Name, harm, span)
+}
+
+// harmPackets harms the way from the routers to a host.
+func harmPackets(ctx context.Context, s *soak) string {
+	h, span := s.host(), s.span(1500*time.Millisecond)
+	harm := []router.Fault{{Drop: true}, {Delay: 100 * time.Millisecond}}[s.pick(2)]
+	s.router.Harm(h.Name, harm)
+	wait(ctx, span)
+	s.router.Harm(h.Name, router.Fault{})
+	return fmt.Sprintf("%s %+v for %s", h.Name, harm, span)
+}
+
+// entryLapse is how long the entry of a silent target stays listed: three of its
+// heartbeats.
+const entryLapse = 3600 * time.Millisecond
+
+func crashTarget(ctx context.Context, s *soak) string {
+	t := s.target()
+	t.Darken()
+	wait(ctx, entryLapse)
+	s.fleet.store.Remove(t.Entry().ID)
+	t.Stop()
+	s.addTarget(ctx, t.Entry().Service, s.pick(len(s.config.Zones)), s.newAddress())
+	return t.Entry().ID
+}
+
+// reuseAddress crashes a target and gives its address to another service.
+func reuseAddress(ctx context.Context, s *soak) string {
+	t := s.target()
+	entry := t.Entry()
+	t.Stop()
+	wait(ctx, 2*time.Second)
+	service := ledger
+	if entry.Service == ledger {
+		service = intake
+	}
+	s.addTarget(ctx, service, s.pick(len(s.config.Zones)), entry.Address)
+	wait(ctx, entryLapse-2*time.Second)
+	s.fleet.store.Remove(entry.ID)
+	s.addTarget(ctx, entry.Service, s.pick(len(s.config.Zones)), s.newAddress())
+	return entry.ID
+}
+
+func replaceTarget(ctx context.Context, s *soak) string {
+	t := s.target()
+	s.addTarget(ctx, t.Entry().Service, s.pick(len(s.config.Zones)), s.newAddress())
+	s.fleet.store.Put(t.Drain())
+	wait(ctx, drainLimit+2*time.Second)
+	t.Stop()
+	s.fleet.store.Remove(t.Entry().ID)
+	return t.Entry().ID
+}
+
+// publish brings the optional route, or takes it away, and looks at every host
+// once it must be in force.
+func publish(ctx context.Context, s *soak) string {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
+	s.version += uint64(1 + s.pick(5))
+	s.optional = !s.optional
+	if err := s.fleet.store.Publish(s.version, s.routes()); err != nil {
+		s.fleet.problem("publish: %v", err)
+	}
+	published := time.Now()
+	wait(ctx, inForceWithin)
+	s.checkInForce(ctx, published)
+	return fmt.Sprintf("version %d, optional route %v", s.version, s.optional)
+}
+
+// reload changes a host's file by a line that changes nothing, and mostly says so.
+func reload(_ context.Context, s *soak) string {
+	h := s.host()
+	text, err := os.ReadFile(h.file)
+	if err == nil {
+		err = os.WriteFile(h.file, append(text, []byte("# changed\n")...), 0o600)
+	}
+	if err != nil {
+		s.fleet.problem("change %s: %v", h.file, err)
+	}
+	if s.pick(3) > 0 {
+		h.signal(syscall.SIGHUP)
+	}
+	return h.Name
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -59,6 +59,7 @@
 				&cli.StringFlag{Name: "out", Value: "docs", Usage: "folder for FIGURES.md and plots"},
 			}},
 			{Name: "compare", Usage: "hold the system against simpler placements", Action: compare},
+			soakCommand(),
 			{Name: "caller", Usage: "load the services", Action: caller, Flags: []cli.Flag{
 				settings,
 				&cli.StringSliceFlag{Name: "work", Usage: "KIND:SERVICE:FLOWS, with streams, uploads, checks or presses"},
--- /dev/null
+++ b/standin/soak.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cranberryspan.dev/standin/internal/soaker"
+	"github.com/urfave/cli/v3"
+)
+
+// soakCommand runs real hosts under random faults.
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name: "soak", Usage: "run real hosts that steer flows under random faults, and check the promises", Action: soak,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Value: "bin/cranberryspan", Usage: "the balancer"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the first run"},
+			&cli.IntFlag{Name: "runs", Value: 1, Usage: "how many runs, with seeds one after another"},
+			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "for how long faults come"},
+			&cli.IntSliceFlag{Name: "zones", Value: []int{3, 3, 2}, Usage: "hosts of each availability zone"},
+			&cli.IntFlag{Name: "callers", Value: 6, Usage: "callers of each zone"},
+			&cli.IntFlag{Name: "targets", Value: 9, Usage: "targets of the larger service"},
+			&cli.IntFlag{Name: "block", Value: 40, Usage: "second byte of all addresses; runs at the same time need different ones"},
+			&cli.StringSliceFlag{Name: "only", Usage: "faults that may come; all where none is given"},
+			&cli.DurationFlag{Name: "gap", Value: 700 * time.Millisecond, Usage: "mean pause between two faults"},
+		},
+	}
+}
+
+func soak(ctx context.Context, command *cli.Command) error {
+	clean := true
+	for i := range command.Int("runs") {
+		report, err := soaker.Run(ctx, soaker.Config{
+			Seed: command.Uint64("seed") + uint64(i), Duration: command.Duration("duration"), Program: command.String("program"),
+			Zones: command.IntSlice("zones"), Callers: command.Int("callers"), Targets: command.Int("targets"),
+			Block: command.Int("block"), Only: command.StringSlice("only"), Gap: command.Duration("gap"),
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Println(report)
+		clean = clean && len(report.Problems) == 0
+	}
+	if !clean {
+		return cli.Exit("the soak found problems", exitNotClean)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/soak_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/standin/internal/asker"
+	"cranberryspan.dev/standin/internal/soaker"
+	"github.com/stretchr/testify/require"
+)
+
+// soakOnce runs real hosts under faults and demands that every promise holds.
+func soakOnce(t *testing.T, config soaker.Config) soaker.Report {
+	t.Helper()
+	dir, err := binaries()
+	require.NoError(t, err)
+	config.Program = filepath.Join(dir, "balancer")
+	if config.Zones == nil {
+		config.Zones = []int{2, 2}
+	}
+	config.Callers, config.Targets = 3, 6
+	if config.Gap == 0 {
+		config.Gap = 600 * time.Millisecond
+	}
+	report, err := soaker.Run(context.Background(), config)
+	require.NoError(t, err)
+	require.Empty(t, report.Problems, "%s", report)
+	require.NotZero(t, report.Outcomes[asker.OutcomeAnswered])
+	return report
+}
+
+// A calm run: every attempt is answered, and the store is read seldom.
+func TestFlowsAreServed(t *testing.T) {
+	t.Parallel()
+	report := soakOnce(t, soaker.Config{Seed: 1, Block: 60, Duration: time.Second, Only: []string{"reload"}, NoFailures: true})
+	require.Less(t, report.Reads, 80, "two reads about every second, and two at each host's start")
+}
+
+// Symptom: work is cut by a release of hosts. Sequence: hosts are stopped with
+// SIGTERM and started again, several at a time, under load.
+func TestReleasesOfHostsCutNoFlow(t *testing.T) {
+	t.Parallel()
+	soakOnce(t, soaker.Config{Seed: 2, Block: 61, Zones: []int{3, 3}, Duration: 10 * time.Second, Only: []string{"terminate", "reload"}, Gap: 3 * time.Second, NoFailures: true})
+}
+
+// Symptom: work is cut by a release of targets, or by new settings.
+// Sequence: targets are replaced one after another while versions are published.
+func TestReleasesOfTargetsCutNoFlow(t *testing.T) {
+	t.Parallel()
+	soakOnce(t, soaker.Config{Seed: 3, Block: 62, Duration: 8 * time.Second, Only: []string{"replaceTarget", "publish"}, Gap: 1500 * time.Millisecond, NoFailures: true})
+}
+
+// Symptom: callers notice that the platform's store is in trouble.
+// Sequence: it refuses some hosts or all, is slow or silent, while hosts restart.
+func TestStoreInTroubleFailsNobody(t *testing.T) {
+	t.Parallel()
+	soakOnce(t, soaker.Config{Seed: 4, Block: 63, Zones: []int{3, 2}, Duration: 8 * time.Second, Only: []string{"store", "storeForAll", "terminate"}, Gap: 1500 * time.Millisecond, NoFailures: true})
+}
+
+// Any fault, overlapping, with fixed seeds. Seeds that ever failed are added with
+// a line on the cause.
+func TestSoak(t *testing.T) {
+	for i, seed := range []uint64{1, 2} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			soakOnce(t, soaker.Config{Seed: seed, Block: 64 + i, Zones: []int{2, 2, 1}, Duration: 8 * time.Second})
+		})
+	}
+}
