--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -25,6 +25,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -115,10 +116,16 @@
 	return r, nil
 }
 
-// now is the host's monotonic clock. It starts above zero, since zero stands for
-// no deadline.
+// now is the host's clock. It counts the time for which the machine was suspended,
+// which the usual monotonic clock leaves out: a host that wakes must know that
+// what it learned before is old. It starts above zero, since zero stands for no
+// deadline.
 func (r *Runner) now() timekeeper.Instant {
-	return timekeeper.Instant(time.Since(r.start) + time.Second)
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return timekeeper.Instant(time.Since(r.start) + time.Second) // A kernel without that clock.
+	}
+	return timekeeper.Instant(t.Nano()) + timekeeper.Instant(time.Second)
 }
 
 // look is a function that runs between two events.
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -142,7 +142,9 @@
 	}
 	r := e.Report
 	p := s.notePeer(e.From, r.Address)
-	if r.Incarnation < p.incarnation {
+	// An older incarnation's report may be late. But clocks step back: a host that
+	// starts anew after that has a lower incarnation, and would be ignored for good.
+	if r.Incarnation < p.incarnation && p.hears(s.now) {
 		return
 	}
 	if p.heard == 0 || s.now.Since(p.heard) > peerMemory || p.incarnation != r.Incarnation {
--- a/core/steerer/reading_test.go
+++ b/core/steerer/reading_test.go
@@ -140,3 +140,24 @@
 		require.NotEqual(t, target, fresh.target)
 	}
 }
+
+// Symptom: nobody learns from a host that was restarted. Sequence: its time of day
+// jumps back, it restarts, and its incarnation is lower than before; another host
+// is turned away by the platform and could learn from it.
+// Cause: reports of lower incarnations that are dropped for good.
+func TestHostWhoseClockSteppedBackIsHeard(t *testing.T) {
+	f := newFleet(t, 2)
+	h := f.hosts["a2"]
+	h.starts = 100
+	f.kill("a2")
+	f.start("a2")
+	f.step(time.Second)
+	h.starts = 10
+	f.kill("a2")
+	f.start("a2")
+	f.turnedAway["a1"] = true
+	f.step(3 * time.Second)
+	f.settings = settingsOf(2, routes()[:2])
+	f.step(3 * time.Second)
+	require.Equal(t, uint64(2), f.hosts["a1"].steerer.Snapshot().Version)
+}
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -49,7 +49,7 @@
 	}
 }
 
-func terminate(ctx context.Context, s *soak) string {
+func terminate(_ context.Context, s *soak) string {
 	h := s.host()
 	h.signal(syscall.SIGTERM)
 	if !h.ended(6 * time.Second) {
