--- a/standin/internal/asker/asker.go
+++ b/standin/internal/asker/asker.go
@@ -90,12 +90,14 @@
 		return nil, err
 	}
 	c := &Caller{address: address, conn: conn, hand: hand, flows: map[uint16]*Flow{}, port: 1024}
-	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go c.read()
 	go c.tick(ctx)
 	return c, nil
 }
 
+// Close frees the caller's address.
+func (c *Caller) Close() { _ = c.conn.Close() }
+
 // Open sends the opening packet of a new flow.
 func (c *Caller) Open(service netip.AddrPort) *Flow {
 	c.mu.Lock()
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -98,7 +98,10 @@
 	random    *rand.Rand
 	disturbed time.Time
 	harming   int
+	// targets are those that faults may choose, started all that ever ran.
 	targets   []*answerer.Target
+	started   []*answerer.Target
+	callers   []*asker.Caller
 	targetIDs int
 	addresses int
 	requests  int
@@ -123,7 +126,7 @@
 	if s.fleet, err = newFleet(ctx, config, dir); err != nil {
 		return Report{}, err
 	}
-	defer s.fleet.stop()
+	defer s.end()
 	if err := s.begin(ctx); err != nil {
 		return Report{}, err
 	}
@@ -135,6 +138,19 @@
 	return report, nil
 }
 
+// end frees every address, for the next run.
+func (s *soak) end() {
+	s.fleet.stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.started {
+		t.Stop()
+	}
+	for _, c := range s.callers {
+		c.Close()
+	}
+}
+
 func (s *soak) pick(n int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,6 +217,7 @@
 	}
 	s.mu.Lock()
 	s.targets = append(s.targets, t)
+	s.started = append(s.started, t)
 	s.mu.Unlock()
 	s.fleet.store.Put(entry)
 }
@@ -248,6 +265,7 @@
 				s.fleet.problem("start caller: %v", err)
 				continue
 			}
+			s.callers = append(s.callers, c)
 			callers.Go(func() { s.reads(loading, c) })
 			callers.Go(func() { s.singles(loading, c) })
 		}
@@ -408,6 +426,7 @@
 		outcome := f.Ask(ctx, s.newID(ledger), "read", 0, time.Now().Add(2*time.Second))
 		f.Close()
 		stop()
+		c.Close()
 		opened := outcome != asker.OutcomeNotOpened
 		if opened != s.optional && s.calmSince(published) {
 			s.fleet.problem("%s has not put version %d in force after %s: optional route %v, flow %s", h.Name, s.version, time.Since(published), s.optional, outcome)
