An outage is over for hosts that learn from others too

Only a host's own read ended the outage for it; until then it kept giving flows to lively targets that were gone from the list. Before: TestOutageIsOverForHostsThatLearnFromOthers red; after: green.

--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -231,8 +231,12 @@
 
 // confirm takes over another host's confirmation if it is newer.
 func (s *Steerer) confirm(src *source, age time.Duration) {
-	if age < unknownAge {
-		src.confirmed = max(src.confirmed, s.now.Add(-age))
+	if age >= unknownAge {
+		return
+	}
+	src.confirmed = max(src.confirmed, s.now.Add(-age))
+	if failed := s.reading.failedSince; failed != 0 && src.confirmed > failed {
+		s.regained("peer")
 	}
 }
 
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -49,8 +49,8 @@
 type reading struct {
 	settings source
 	targets  source
-	// failedSince is since when the platform has not answered this host; 0 while
-	// it does.
+	// failedSince is since when the platform has answered neither this host nor one
+	// that it learns from; 0 while it does.
 	failedSince timekeeper.Instant
 	// returnedAt is when it answered again.
 	returnedAt timekeeper.Instant
@@ -129,17 +129,24 @@
 		s.counts.add(ReadsFailed)
 		if r.failedSince == 0 {
 			r.failedSince = s.now
-			s.log("platformLost", Field{"reading", what}, Field{"error", err.Error()})
+			s.log("platformLost", Field{"by", what}, Field{"error", err.Error()})
 		}
 		return
 	}
 	if r.failedSince != 0 {
-		s.log("platformRegained", Field{"reading", what}, Field{"lostMillis", millis(s.now.Since(r.failedSince))})
-		r.failedSince = 0
-		r.returnedAt = s.now
+		s.regained(what)
 	}
 }
 
+// regained ends an outage of the platform: it has answered this host, or another
+// that this one learns from.
+func (s *Steerer) regained(by string) {
+	r := &s.reading
+	s.log("platformRegained", Field{"by", by}, Field{"lostMillis", millis(s.now.Since(r.failedSince))})
+	r.failedSince = 0
+	r.returnedAt = s.now
+}
+
 func (s *Steerer) settingsRead(e *SettingsRead) {
 	s.reading.settings.end(s.now, e.Started, e.Err != nil, s.random.Float64())
 	s.noteRead("settings", e.Err)
--- a/core/steerer/reading_test.go
+++ b/core/steerer/reading_test.go
@@ -161,3 +161,32 @@
 	f.step(3 * time.Second)
 	require.Equal(t, uint64(2), f.hosts["a1"].steerer.Snapshot().Version)
 }
+
+// Symptom: a host gives flows to a target that was given up long ago. Sequence: the
+// platform is down and back; one host reads again, the others learn from it; later
+// a target that lives vanishes from the list for good. Cause: a host that has not
+// read itself since the outage still believes in it, and in entries that lapse.
+func TestOutageIsOverForHostsThatLearnFromOthers(t *testing.T) {
+	f := newFleet(t, 3)
+	f.down = true
+	f.step(5 * time.Second)
+	f.down = false
+	f.step(8 * time.Second)
+	const target = "i-10000001"
+	for _, name := range f.names {
+		c := openOn(f, name, target, 0, true)
+		f.remove(target)
+		for range 25 {
+			f.step(200 * time.Millisecond)
+			c.ask(name)
+			c.thank(name)
+		}
+		for n := range 100 {
+			fresh := f.caller(2000+n, readRoute)
+			fresh.open(name, 0)
+			require.NotEqual(t, target, fresh.target, name)
+		}
+		f.addTarget(target, "ledger", "a")
+		f.step(3 * time.Second)
+	}
+}
