--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 FUMPT := mvdan.cc/gofumpt@v0.12.0
 
-.PHONY: help build demo up test red lint format check bench fuzz capacity compare throughput
+.PHONY: help build demo up test red lint format check bench fuzz soak capacity compare throughput
 
 help: ## list the tasks
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -47,9 +47,17 @@
 	go test ./core/encoder -run '^$$' -fuzz FuzzDecodeDelivery -fuzztime 30s
 	go test ./core/translator -run '^$$' -fuzz FuzzDecode -fuzztime 30s
 	go test ./core/resolver -run '^$$' -fuzz FuzzResolve -fuzztime 30s
+	go test ./core/steerer -run TestFleetAgainstOracle -rapid.checks=3000 -rapid.steps=100 -rapid.seed=$$(date +%s)
+	go test ./platform -run '^$$' -fuzz 'FuzzDecode$$' -fuzztime 30s
+	go test ./platform -run '^$$' -fuzz FuzzDecodeSettings -fuzztime 30s
+
+soak: build ## real hosts under random faults: make soak SEED=7 RUNS=5
+	bin/standin soak --seed $(or $(SEED),1) --runs $(or $(RUNS),1)
 
 capacity: build ## measure every slope of docs/CAPACITY.md and draw the plots
 	bin/standin capacity --out docs
+	go test ./core/steerer -count=1 -run 'TestControlTraffic|TestFlowsTake' -v -largestZone 87
+	go test ./core/steerer -run '^$$' -bench .
 
 compare: build ## hold the system against simpler placements
 	bin/standin compare
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -40,6 +40,8 @@
 	outcomes map[string]steerer.ProbeOutcome
 	reads    int
 	probes   int
+	// reportBytes counts what hosts sent each other, sealed; -1 to leave it.
+	reportBytes int
 }
 
 type host struct {
@@ -96,7 +98,7 @@
 	f := &fleet{
 		t: t, now: timekeeper.Instant(time.Second), hosts: map[string]*host{}, targets: map[string]steerer.Target{},
 		turnedAway: map[string]bool{}, cut: map[[2]string]bool{}, outcomes: map[string]steerer.ProbeOutcome{},
-		settings: settingsOf(1, routes()), revision: 1,
+		settings: settingsOf(1, routes()), revision: 1, reportBytes: -1,
 	}
 	for zone, count := range hostsByZone {
 		for n := 1; n <= count; n++ {
@@ -281,6 +283,9 @@
 
 func (f *fleet) sendReport(name string, e *steerer.SendReport) {
 	report := *e.Report
+	if f.reportBytes >= 0 {
+		f.reportBytes += sealedBytes(f.t, e)
+	}
 	for _, other := range f.names {
 		if f.hosts[other].address == e.Address && !f.cut[[2]string{name, other}] {
 			f.after(hop, func() { f.reduce(other, &steerer.ReportReceived{From: name, Report: &report}) })
