Flows that have not opened count as load; flows beyond the bound leave none

Found beside it by a test: load of flows beyond the bound on remembered flows was never taken back, and all further flows went to the least busy. Ruled out: guessing a refusal from the caller's next flow, which callers with several users open anyway.

--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -53,9 +53,16 @@
 
 // load estimates how long a new request would wait at a target, in requests a
 // slot.
+//
+// A flow that has not opened yet counts as a request. What goes wrong otherwise: a
+// target that has crashed resets each new flow at once, so it has the least load of
+// all, and callers are sent there again and again until it is found out.
 func (s *Steerer) load(t *target, hash uint64) float64 {
-	idle := max(t.flows-t.busy, 0)
-	load := (float64(t.busy+t.peersBusy) + openFlowLoad*float64(idle)) / float64(max(t.Slots, 1))
+	idle := max(t.flows-t.busy-t.opening, 0)
+	load := (float64(t.busy+t.opening+t.peersBusy) + openFlowLoad*float64(idle)) / float64(max(t.Slots, 1))
+	if s.full() {
+		load = 0 // New flows would not be counted, and all go to the least busy.
+	}
 	if !t.warmUpDeadline.Passed(s.now) {
 		load = (load + 1/float64(max(t.Slots, 1))) * warmingLoad
 	}
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -53,6 +53,8 @@
 	resets  []steerer.ResetFlow
 	logs    []steerer.Logged
 	ended   bool
+	// maxFlows bounds the flows that the host remembers; 0 is plenty.
+	maxFlows int
 }
 
 // sent is a packet that a host passed on.
@@ -158,9 +160,12 @@
 	h.starts++
 	h.running = true
 	h.ended = false
+	if h.maxFlows == 0 {
+		h.maxFlows = 10_000
+	}
 	h.steerer = steerer.New(steerer.Config{
 		Self: name, Address: h.address, AvailabilityZone: name[:1], Seeds: seeds,
-		Incarnation: h.starts, Seed: h.starts, MaxFlows: 10_000, Start: f.now,
+		Incarnation: h.starts, Seed: h.starts, MaxFlows: h.maxFlows, Start: f.now,
 		SettingsWithin: 3 * time.Second, DrainingWithin: 3 * time.Second,
 	})
 	f.reduce(name, &steerer.Tick{})
--- a/core/steerer/health_test.go
+++ b/core/steerer/health_test.go
@@ -119,6 +119,30 @@
 	}
 }
 
+// Symptom: a crashed target swallows most of the new flows of its zone.
+// Sequence: it resets each opening packet at once, straight to the caller, who
+// tries again; it has the least load of all. Cause: flows that have not opened do
+// not count as load, so it stays the least busy until it is found out.
+func TestCrashedTargetDoesNotAttractFlows(t *testing.T) {
+	f := newFleet(t, 1)
+	const target = "i-10000001"
+	f.outcomes[target] = steerer.ProbeRefused
+	swallowed, open := 0, 0
+	for n := range 100 {
+		c := f.caller(n, checkRoute)
+		c.open("a1", 0)
+		if c.target == target {
+			swallowed++
+		} else {
+			c.establish("a1")
+			c.ask("a1")
+			open++
+		}
+		f.step(2 * time.Millisecond)
+	}
+	require.LessOrEqual(t, swallowed, 1+open/3, "no more than its share among six")
+}
+
 // A target that did not answer gets flows again once it does, and is asked so
 // rarely that checks stay few.
 func TestTargetComesBack(t *testing.T) {
@@ -197,3 +221,36 @@
 	c.open("a1", 0)
 	require.NotEmpty(t, c.target)
 }
+
+// Symptom: after a flood of flows one target gets no new ones any more.
+// Sequence: more flows are open than the host remembers; each packet of the others
+// begins a request that the host never sees end. Cause: load that is counted for
+// flows which are not remembered.
+func TestFlowsBeyondTheBoundLeaveNoLoad(t *testing.T) {
+	f := newFleet(t, 1)
+	f.hosts["a1"].maxFlows = 10
+	f.kill("a1")
+	f.start("a1")
+	f.step(time.Second)
+	var unremembered []*caller
+	for n := range 200 {
+		c := f.caller(n, readRoute)
+		c.open("a1", 0)
+		if n >= 10 && c.target == "i-10000001" {
+			unremembered = append(unremembered, c)
+		}
+	}
+	for _, c := range unremembered {
+		c.establish("a1")
+		c.ask("a1")
+		require.Equal(t, c.target, f.last("a1"))
+	}
+	f.step(20 * time.Second)
+	placed := map[string]int{}
+	for n := range 300 {
+		c := f.caller(1000+n, readRoute)
+		c.open("a1", 0)
+		placed[c.target]++
+	}
+	require.Greater(t, placed["i-10000001"], 20, "%v", placed)
+}
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -401,8 +401,8 @@
 func (s *Steerer) busy() map[uint32]uint16 {
 	busy := map[uint32]uint16{}
 	for _, t := range s.targets.ordered() {
-		if t.busy > 0 {
-			busy[uint32(t.tag)] = uint16(min(t.busy, 1<<16-1))
+		if n := t.busy + t.opening; n > 0 {
+			busy[uint32(t.tag)] = uint16(min(n, 1<<16-1))
 		}
 	}
 	return busy
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -32,7 +32,8 @@
 	// earlier got the first opening packet if a copy went elsewhere.
 	earlier *target
 	route   Route
-	// opened says that a packet came that only an open flow sends.
+	// opened says that a packet came that only an open flow sends. Until then the
+	// flow counts in its target's opening.
 	opened bool
 	// openedAt is when the first opening packet went out.
 	openedAt timekeeper.Instant
@@ -91,7 +92,10 @@
 	}
 	if f == nil {
 		f = &flow{target: to, route: route, openedAt: s.now, lastPacket: s.now}
-		s.remember(key, f)
+		if !s.remember(key, f) {
+			s.sendTarget(to, to.tag, p.Data)
+			return
+		}
 		s.opening = append(s.opening, openingCheck{key: key, deadline: s.now.Add(openingPatience)})
 	} else {
 		s.noteCopy(f, to)
@@ -120,13 +124,22 @@
 func (s *Steerer) noteCopy(f *flow, to *target) {
 	s.noteStall(f.target, "openingCopy")
 	f.lastPacket = s.now
-	if f.target == to {
-		return
+	if f.target != to {
+		f.earlier = f.target
+		s.move(f, to)
 	}
+}
+
+// move counts a flow at another target.
+func (s *Steerer) move(f *flow, to *target) {
+	s.setWaiting(f, false)
 	f.target.flows--
-	f.earlier = f.target
-	f.target = to
 	to.flows++
+	if !f.opened {
+		f.target.opening--
+		to.opening++
+	}
+	f.target = to
 }
 
 // laterPacket passes a packet on to the target that its tag names.
@@ -146,7 +159,10 @@
 	}
 	if f == nil {
 		f = &flow{target: to, route: route, opened: true, openedAt: s.now, sentEnd: p.Sequence, acknowledged: p.Acknowledged, lastPacket: s.now}
-		s.remember(key, f)
+		if !s.remember(key, f) {
+			s.sendTarget(to, 0, p.Data)
+			return
+		}
 	}
 	s.follow(f, to, p)
 	s.observe(f, p)
@@ -165,15 +181,13 @@
 func (s *Steerer) follow(f *flow, to *target, p *Packet) {
 	f.lastPacket = s.now
 	if f.target != to {
-		s.setWaiting(f, false)
-		f.target.flows--
-		f.target = to
-		to.flows++
+		s.move(f, to)
 	}
 	if f.opened {
 		return
 	}
 	f.opened = true
+	to.opening--
 	f.sentEnd = p.Sequence
 	f.acknowledged = p.Acknowledged
 	s.noteProgress(to)
@@ -251,21 +265,33 @@
 	s.log("flowReset", append(fields, to.health.fields(s.now)...)...)
 }
 
-func (s *Steerer) remember(key flowKey, f *flow) {
-	if len(s.flows) >= s.config.MaxFlows {
+// remember keeps a flow, unless there are too many. Nothing may be counted for a
+// flow that is not kept: nobody would take it back.
+func (s *Steerer) remember(key flowKey, f *flow) bool {
+	if s.full() {
 		s.counts.add(NotRemembered)
-		return
+		return false
 	}
 	s.flows[key] = f
 	f.target.flows++
+	if !f.opened {
+		f.target.opening++
+	}
+	return true
 }
 
+// full reports whether no further flow can be remembered.
+func (s *Steerer) full() bool { return len(s.flows) >= s.config.MaxFlows }
+
 func (s *Steerer) forget(key flowKey, f *flow) {
 	if s.flows[key] != f {
 		return
 	}
 	s.setWaiting(f, false)
 	f.target.flows--
+	if !f.opened {
+		f.target.opening--
+	}
 	delete(s.flows, key)
 }
 
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -73,10 +73,11 @@
 	// warmUpDeadline is when the target has its full speed.
 	warmUpDeadline timekeeper.Instant
 
-	// flows counts the open flows through this host, busy those of them that
-	// wait for an answer.
-	flows int
-	busy  int
+	// flows counts the flows through this host, busy those of them that wait for an
+	// answer, opening those that have not opened yet.
+	flows   int
+	busy    int
+	opening int
 	// peersBusy is the sum of what the other hosts of the zone report.
 	peersBusy int
 
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -116,6 +116,7 @@
 without "checks of a silent target's neighbours" steerer/health.go 's.checkNeighbours(t)
 }' '}' TestOneSilentTargetOfAZoneHasTheOthersChecked
 without "word of silent targets" steerer/peers.go 's.takeUnreachable(r.Unreachable)' '' TestSilentTargetIsToldToTheZonesHosts
+without "load of flows that have not opened" steerer/choosing.go 't.busy+t.opening+t.peersBusy' 't.busy+t.peersBusy' TestCrashedTargetDoesNotAttractFlows
 without "the notice of refusals" steerer/steering.go 's.noteStall(f.target, "openingRefused")' '' TestTargetThatRefusesFlowsIsNoticed
 
 echo "$passed passed, $failed failed"
