--- /dev/null
+++ b/balancer/internal/configurer/flows_test.go
@@ -0,0 +1,59 @@
+package configurer
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const flowFile = `name: a1
+availabilityZone: a
+address: 10.0.0.1:7000
+packetAddress: 10.0.0.1:7001
+readyAddress: 10.0.0.1:7002
+adminAddress: 10.0.0.1:7003
+platform: 10.0.9.9:80
+seeds: 10.0.0.1:7000,10.0.0.2:7000
+memoryMegabytes: 128
+forwarding: echo
+settingsWithin: 3000ms
+drainingWithin: 3s
+`
+
+func readFlows(t *testing.T, text string) (FlowConfig, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "host.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return ReadFlowFile(path)
+}
+
+func TestReadFlowFile(t *testing.T) {
+	config, err := readFlows(t, flowFile)
+	require.NoError(t, err)
+	require.Equal(t, config.Address, config.AdvertisedAddress, "as long as nothing translates it")
+	require.Len(t, config.Seeds, 2)
+	require.Equal(t, 3*time.Second, config.SettingsWithin)
+	require.Equal(t, int64(128<<20), config.MemoryBytes)
+	require.False(t, config.Differs(config.WithSeeds(config.Seeds)))
+	require.True(t, config.Differs(config.WithSeeds(nil)))
+}
+
+func TestReadFlowFileSaysWhatIsWrong(t *testing.T) {
+	for _, fault := range []struct{ old, changed, says string }{
+		{"name: a1\n", "", "name is missing"},
+		{"availabilityZone: a\n", "", "availabilityZone is missing"},
+		{"10.0.0.1:7001", "here", `packetAddress: "here" is no address and port`},
+		{"memoryMegabytes: 128", "memoryMegabytes: 0", "memoryMegabytes"},
+		{"forwarding: echo", "forwarding: tunnel", `forwarding: "tunnel" is not known`},
+		{"settingsWithin: 3000ms", "settingsWithin: 3", `settingsWithin: "3" is no duration`},
+		{"10.0.0.2:7000", "b", `seeds: "b" is no address`},
+		{"name: a1", "title: a1", "title"},
+	} {
+		_, err := readFlows(t, strings.Replace(flowFile, fault.old, fault.changed, 1))
+		require.ErrorContains(t, err, fault.says)
+	}
+}
--- /dev/null
+++ b/balancer/internal/reloader/reloader_test.go
@@ -0,0 +1,40 @@
+package reloader
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Symptom: the process ends at SIGHUP, or goes on with old settings.
+// Sequence: the file changes, with and without a signal. Cause: nobody looks.
+func TestSignalAndChangeAreNoticed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "host.yaml")
+	require.NoError(t, os.WriteFile(path, []byte("a"), 0o600))
+	r := New(path)
+	ctx, cancel := context.WithCancel(context.Background())
+	end := r.Run(ctx)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Equal(t, "signal", next(t, r))
+	later := time.Now().Add(time.Hour)
+	require.NoError(t, os.Chtimes(path, later, later))
+	require.Equal(t, "fileChanged", next(t, r))
+	cancel()
+	require.NoError(t, <-end)
+}
+
+func next(t *testing.T, r *Reloader) string {
+	t.Helper()
+	select {
+	case cause := <-r.Changed():
+		return cause
+	case <-time.After(10 * time.Second):
+		t.Fatal("the change was not noticed")
+		return ""
+	}
+}
--- a/operator/main.go
+++ b/operator/main.go
@@ -11,6 +11,7 @@
 	"cranberryspan.dev/core/resolver"
 	"cranberryspan.dev/operator/internal/asker"
 	"cranberryspan.dev/operator/internal/printer"
+	"cranberryspan.dev/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -37,8 +38,9 @@
 	_, _ = fmt.Fprintln(problems, err)
 	var invalid *resolver.Error
 	var unreachable *asker.Error
+	var malformed *platform.Error
 	switch {
-	case errors.As(err, &invalid):
+	case errors.As(err, &invalid), errors.As(err, &malformed):
 		return exitInvalid
 	case errors.As(err, &unreachable):
 		return exitUnreachable
@@ -60,6 +62,7 @@
 			{Name: "check", Usage: "report everything that is wrong with a settings tree", ArgsUsage: "FILE", Action: check(out)},
 			{Name: "explain", Usage: "list the values in force at a path and where they come from", ArgsUsage: "FILE PATH", Action: explain(out)},
 			{Name: "diff", Usage: "list what a change alters and what it does to flows", ArgsUsage: "OLD NEW", Action: diff(out)},
+			{Name: "routes", Usage: "show published routes, or what a change of them does to flows", ArgsUsage: "FILE [NEW]", Action: routes(out)},
 			{Name: "status", Usage: "show the state of hosts", ArgsUsage: "ADMIN...", Action: status(out)},
 			{Name: "flows", Usage: "list flows that a host remembers", ArgsUsage: "ADMIN", Action: flows(out), Flags: []cli.Flag{
 				&cli.IntFlag{Name: "limit", Value: 20, Usage: "how many at most"},
--- a/operator/main_test.go
+++ b/operator/main_test.go
@@ -97,3 +97,29 @@
 		require.Contains(t, out, "8 hosts, 2 services, 18 targets")
 	}
 }
+
+const publishedBefore = `{"version":7,"routes":[
+{"name":"r-a","host":"198.18.0.1","prefix":"/8443/","type":"idempotent","timeout_ms":2500,"service":"ledger"},
+{"name":"r-b","host":"198.18.0.2","prefix":"/8443/","type":"upload","timeout_ms":5000,"service":"intake"}]}`
+
+const publishedAfter = `{"version":9,"routes":[
+{"name":"r-a","host":"198.18.0.1","prefix":"/8443/","type":"idempotent","timeout_ms":2000,"service":"ledger"},
+{"name":"r-c","host":"198.18.0.3","prefix":"/443/","type":"upload","timeout_ms":5000,"service":"intake"}]}`
+
+func TestRoutes(t *testing.T) {
+	before, after := write(t, "before.json", publishedBefore), write(t, "after.json", publishedAfter)
+	code, out, _ := spanctl("routes", before)
+	require.Equal(t, exitOK, code)
+	require.Contains(t, out, "version 7")
+	require.Contains(t, out, "198.18.0.1:8443")
+	code, out, _ = spanctl("routes", before, after)
+	require.Equal(t, exitOK, code)
+	require.Contains(t, out, "timeout: 2.5s -> 2s")
+	require.Contains(t, out, "removed")
+	require.Contains(t, out, "added at 198.18.0.3:443")
+	code, _, problems := spanctl("routes", write(t, "bad.json", `{"version":7,"routes":[{"name":"r-a","host":"here"}]}`))
+	require.Equal(t, exitInvalid, code)
+	require.Contains(t, problems, "r-a")
+	code, _, _ = spanctl("routes")
+	require.Equal(t, exitUsage, code)
+}
