Counters are shown while they are zero

Cause: the exporter skipped values that had not changed, also the first one, so a counter appeared with its first event only.

--- a/balancer/internal/exporter/exporter.go
+++ b/balancer/internal/exporter/exporter.go
@@ -121,10 +121,12 @@
 	}
 }
 
-// Count brings a counter to a value that only grows.
+// Count brings a counter to a value that only grows. A counter is shown from the
+// first call on, also while it is zero: whoever watches it has to see that it is
+// there.
 func (e *Exporter) Count(name, reason string, value uint64) {
 	key := name + "/" + reason
-	if value == e.last[key] {
+	if last, shown := e.last[key]; shown && value == last {
 		return
 	}
 	e.Scope.Tagged(map[string]string{"reason": reason}).Counter(name).Inc(int64(value - e.last[key]))
