--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -15,6 +15,7 @@
 	"cranberryspan.dev/balancer/internal/forwarder"
 	"cranberryspan.dev/balancer/internal/gatherer"
 	"cranberryspan.dev/balancer/internal/gossiper"
+	"cranberryspan.dev/balancer/internal/inspector"
 	"cranberryspan.dev/balancer/internal/logger"
 	"cranberryspan.dev/balancer/internal/readier"
 	"cranberryspan.dev/balancer/internal/reloader"
@@ -55,14 +56,14 @@
 // Runner is one host's daemon.
 type Runner struct {
 	// path is where the settings file lies.
-	path     string
-	config   configurer.FlowConfig
-	platform Platform
-	log      *logger.Logger
-	start    time.Time
-	steerer  *steerer.Steerer
-	events   chan steerer.Event
-	looks    chan look
+	path      string
+	config    configurer.FlowConfig
+	platform  Platform
+	log       *logger.Logger
+	start     time.Time
+	steerer   *steerer.Steerer
+	events    chan steerer.Event
+	inspector inspector.Inspector[*steerer.Steerer]
 
 	forwarder *forwarder.Forwarder
 	gossiper  *gossiper.Gossiper
@@ -77,7 +78,7 @@
 
 // New opens the host's sockets. The settings in config were read from path.
 func New(path string, config configurer.FlowConfig, platform Platform, log *logger.Logger) (*Runner, error) {
-	r := &Runner{path: path, config: config, platform: platform, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue), looks: make(chan look)}
+	r := &Runner{path: path, config: config, platform: platform, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue), inspector: inspector.New[*steerer.Steerer]()}
 	incarnation := uint64(r.start.UnixMilli())
 	r.steerer = steerer.New(steerer.Config{
 		Self:             config.Name,
@@ -128,28 +129,10 @@
 	return timekeeper.Instant(t.Nano()) + timekeeper.Instant(time.Second)
 }
 
-// look is a function that runs between two events.
-type look struct {
-	run  func(*steerer.Steerer)
-	done chan struct{}
-}
-
-// inspect runs a function between two events.
-func (r *Runner) inspect(ctx context.Context, run func(*steerer.Steerer)) error {
-	l := look{run: run, done: make(chan struct{})}
-	select {
-	case r.looks <- l:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	<-l.done
-	return nil
-}
-
 // knowledge answers another host's question.
 func (r *Runner) knowledge(ctx context.Context, request *messenger.KnowledgeRequest) (*messenger.Knowledge, error) {
 	var knowledge *messenger.Knowledge
-	err := r.inspect(ctx, func(s *steerer.Steerer) { knowledge = s.Knowledge(request) })
+	err := r.inspector.Inspect(ctx, func(s *steerer.Steerer) { knowledge = s.Knowledge(request) })
 	return knowledge, err
 }
 
@@ -198,9 +181,8 @@
 			if event = r.reload(cause); event == nil {
 				continue
 			}
-		case l := <-r.looks:
-			l.run(r.steerer)
-			close(l.done)
+		case look := <-r.inspector.Looks():
+			look.Run(r.steerer)
 			continue
 		case event = <-r.events:
 		}
--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -45,7 +45,7 @@
 // collect copies the host's counters and state into the metrics.
 func (r *Runner) collect(ctx context.Context) {
 	var snapshot steerer.Snapshot
-	if r.inspect(ctx, func(s *steerer.Steerer) { snapshot = s.Snapshot() }) != nil {
+	if r.inspector.Inspect(ctx, func(s *steerer.Steerer) { snapshot = s.Snapshot() }) != nil {
 		return // The host is about to end.
 	}
 	e := r.metrics.exporter
--- a/balancer/internal/runner/runner.go
+++ b/balancer/internal/runner/runner.go
@@ -13,6 +13,7 @@
 	"cranberryspan.dev/balancer/internal/carrier"
 	"cranberryspan.dev/balancer/internal/configurer"
 	"cranberryspan.dev/balancer/internal/gatherer"
+	"cranberryspan.dev/balancer/internal/inspector"
 	"cranberryspan.dev/balancer/internal/linker"
 	"cranberryspan.dev/balancer/internal/prober"
 	"cranberryspan.dev/balancer/internal/reporter"
@@ -33,14 +34,14 @@
 
 // Runner is one host's daemon.
 type Runner struct {
-	config   configurer.Config
-	log      *zap.Logger
-	start    time.Time
-	reducer  *reducer.Reducer
-	events   chan reducer.Event
-	looks    chan look
-	sealer   atomic.Pointer[encoder.Sealer]
-	settings *resolver.Settings
+	config    configurer.Config
+	log       *zap.Logger
+	start     time.Time
+	reducer   *reducer.Reducer
+	events    chan reducer.Event
+	inspector inspector.Inspector[*reducer.Reducer]
+	sealer    atomic.Pointer[encoder.Sealer]
+	settings  *resolver.Settings
 
 	accepting        bool
 	announceDeadline timekeeper.Instant
@@ -52,19 +53,14 @@
 	reporter *reporter.Reporter
 }
 
-type look struct {
-	run  func(*reducer.Reducer)
-	done chan struct{}
-}
-
 // New opens the host's sockets.
 func New(config configurer.Config, log *zap.Logger) (*Runner, error) {
 	r := &Runner{
-		config: config,
-		log:    log,
-		start:  time.Now(),
-		events: make(chan reducer.Event, eventQueue),
-		looks:  make(chan look),
+		config:    config,
+		log:       log,
+		start:     time.Now(),
+		events:    make(chan reducer.Event, eventQueue),
+		inspector: inspector.New[*reducer.Reducer](),
 	}
 	timing := detector.DefaultTiming()
 	if err := timing.Check(); err != nil {
@@ -97,7 +93,7 @@
 		return nil, errors.Wrap(err, "start")
 	}
 	r.watcher = watcher.New(config.Platform, r.events)
-	if r.reporter, err = reporter.New(config.Admin, config.Name, r.inspect, r.transportCounters()); err != nil {
+	if r.reporter, err = reporter.New(config.Admin, config.Name, r.inspector.Inspect, r.transportCounters()); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
 	return r, nil
@@ -129,18 +125,6 @@
 	return timekeeper.Instant(time.Since(r.start) + time.Second)
 }
 
-// inspect runs a function between two events.
-func (r *Runner) inspect(ctx context.Context, run func(*reducer.Reducer)) error {
-	l := look{run: run, done: make(chan struct{})}
-	select {
-	case r.looks <- l:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	<-l.done
-	return nil
-}
-
 // Run serves until leave ends and the host has left, or until ctx ends, which
 // ends it at once. Each part runs until the host has left.
 func (r *Runner) Run(ctx context.Context, leave <-chan struct{}) error {
@@ -175,9 +159,8 @@
 		case <-leave:
 			leave = nil
 			event = &reducer.Shutdown{}
-		case l := <-r.looks:
-			l.run(r.reducer)
-			close(l.done)
+		case look := <-r.inspector.Looks():
+			look.Run(r.reducer)
 			continue
 		case <-ticker.C:
 			event = &reducer.Tick{}
--- a/core/reducer/effect.go
+++ b/core/reducer/effect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/recorder"
 	"cranberryspan.dev/core/resolver"
 	"cranberryspan.dev/core/timekeeper"
 )
@@ -108,16 +109,10 @@
 }
 
 // Logged is one line for the log.
-type Logged struct {
-	Event  string
-	Fields []Field
-}
+type Logged struct{ recorder.Line }
 
 // Field is a key and a value of a log line.
-type Field struct {
-	Key   string
-	Value string
-}
+type Field = recorder.Field
 
 // Ended says that the host has left and the process may end.
 type Ended struct{}
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -20,6 +20,7 @@
 	"cranberryspan.dev/core/detector"
 	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/placer"
+	"cranberryspan.dev/core/recorder"
 	"cranberryspan.dev/core/resolver"
 	"cranberryspan.dev/core/timekeeper"
 )
@@ -201,7 +202,7 @@
 func (r *Reducer) emit(effect Effect) { r.effects = append(r.effects, effect) }
 
 func (r *Reducer) log(event string, fields ...Field) {
-	r.emit(&Logged{Event: event, Fields: fields})
+	r.emit(&Logged{recorder.Line{Event: event, Fields: fields}})
 }
 
 func (r *Reducer) sendPeer(host string, body messenger.Body) {
--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -52,8 +52,8 @@
 	}
 	s.asking.deadline = s.now.Add(askEvery)
 	request := &messenger.KnowledgeRequest{Above: s.version(), Targets: s.lacksTargets(), Since: s.targetsRevision}
-	s.log("hostAsked", Field{"peer", p.name}, Field{"version", utoa(s.version())}, Field{"peerVersion", utoa(p.version)},
-		Field{"targets", btoa(request.Targets)}, Field{"revision", utoa(s.targetsRevision)}, Field{"peerRevision", utoa(p.revision)})
+	s.log("hostAsked", field("peer", p.name), field("version", utoa(s.version())), field("peerVersion", utoa(p.version)),
+		field("targets", btoa(request.Targets)), field("revision", utoa(s.targetsRevision)), field("peerRevision", utoa(p.revision)))
 	s.emit(&AskHost{Host: p.name, Address: p.address, Request: request})
 }
 
@@ -131,7 +131,7 @@
 // meanwhile stays if it is newer.
 func (s *Steerer) hostAnswered(e *HostAnswered) {
 	if e.Err != nil {
-		s.log("hostNotAnswering", Field{"peer", e.From}, Field{"error", e.Err.Error()})
+		s.log("hostNotAnswering", field("peer", e.From), field("error", e.Err.Error()))
 		return
 	}
 	k := e.Knowledge
--- a/core/steerer/effect.go
+++ b/core/steerer/effect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/recorder"
 )
 
 // Effect is something that the host has to do. The set is closed. Effects are
@@ -73,16 +74,12 @@
 }
 
 // Logged is one line for the log.
-type Logged struct {
-	Event  string
-	Fields []Field
-}
+type Logged struct{ recorder.Line }
 
 // Field is a key and a value of a log line.
-type Field struct {
-	Key   string
-	Value string
-}
+type Field = recorder.Field
+
+func field(key, value string) Field { return Field{Key: key, Value: value} }
 
 // Ended says that the process may end.
 type Ended struct{}
--- /dev/null
+++ b/core/steerer/flow.go
@@ -0,0 +1,170 @@
+package steerer
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"cranberryspan.dev/core/timekeeper"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// openingPatience is how long an opening packet may go without a copy and
+	// without its flow opening before the target counts as refusing. Callers
+	// send the first copy after 200 ms; the rest is for the network.
+	openingPatience = 260 * time.Millisecond
+	// flowSweepEvery is how often forgotten flows are looked for.
+	flowSweepEvery = time.Second
+	// closedFlowMemory keeps a flow that ended for late repeats.
+	closedFlowMemory = 2 * time.Second
+	// defaultIdle is how long idle flows are kept before settings say so.
+	defaultIdle = 15 * time.Second
+)
+
+// flow is what a host remembers of a flow whose packets it has seen. Nothing
+// depends on it but the spread of new flows and the notice of silent targets.
+type flow struct {
+	target *target
+	route  Route
+	// opened says that a packet came that only an open flow sends. Until then the
+	// flow counts in its target's opening.
+	opened bool
+	// openedAt is when the first opening packet went out.
+	openedAt timekeeper.Instant
+	// sentEnd is the end of the data that the caller has sent, acknowledged the
+	// highest byte that the caller has acknowledged.
+	sentEnd      uint32
+	acknowledged uint32
+	// waiting says that a request is under way since waitingSince.
+	waiting      bool
+	waitingSince timekeeper.Instant
+	// unconfirmed counts the bytes since the target last showed life.
+	unconfirmed uint32
+	lastPacket  timekeeper.Instant
+	closed      bool
+}
+
+// openingCheck asks at its deadline whether a flow has opened.
+type openingCheck struct {
+	key      flowKey
+	deadline timekeeper.Instant
+}
+
+// remember keeps a flow, unless there are too many. Nothing may be counted for a
+// flow that is not kept: nobody would take it back.
+func (s *Steerer) remember(key flowKey, f *flow) bool {
+	if s.full() {
+		s.counts.add(NotRemembered)
+		return false
+	}
+	s.flows[key] = f
+	f.target.flows++
+	if !f.opened {
+		f.target.opening++
+	}
+	return true
+}
+
+// full reports whether no further flow can be remembered.
+func (s *Steerer) full() bool { return len(s.flows) >= s.config.MaxFlows }
+
+func (s *Steerer) forget(key flowKey, f *flow) {
+	if s.flows[key] != f {
+		return
+	}
+	s.setWaiting(f, false)
+	f.target.flows--
+	if !f.opened {
+		f.target.opening--
+	}
+	delete(s.flows, key)
+}
+
+func (s *Steerer) close(f *flow) {
+	s.setWaiting(f, false)
+	f.closed = true
+}
+
+// checkOpenings looks at flows that should have opened by now.
+//
+// A target that has crashed and is back refuses new flows with a reset that goes
+// straight to the caller, so no copy ever shows it. One notices only that the
+// flow neither opened nor was repeated.
+func (s *Steerer) checkOpenings() {
+	done := 0
+	for _, check := range s.opening {
+		if !check.deadline.Passed(s.now) {
+			break
+		}
+		done++
+		f := s.flows[check.key]
+		if f == nil || f.opened || f.lastPacket != f.openedAt {
+			continue
+		}
+		s.noteStall(f.target, "openingRefused")
+		s.forget(check.key, f)
+	}
+	s.opening = s.opening[:copy(s.opening, s.opening[done:])]
+}
+
+func (s *Steerer) expireFlows() {
+	if !s.pause.sweepDeadline.Passed(s.now) {
+		return
+	}
+	s.pause.sweepDeadline = s.now.Add(flowSweepEvery)
+	idle := defaultIdle
+	if s.settings != nil && s.settings.IdleTimeout > 0 {
+		idle = s.settings.IdleTimeout
+	}
+	for key, f := range s.flows {
+		if f.waiting && f.lastPacket.Add(f.route.Timeout).Passed(s.now) {
+			s.setWaiting(f, false)
+		}
+		keep := idle
+		if f.closed {
+			keep = closedFlowMemory
+		}
+		if f.lastPacket.Add(keep).Passed(s.now) {
+			s.forget(key, f)
+		}
+	}
+}
+
+// move counts a flow at another target.
+func (s *Steerer) move(f *flow, to *target) {
+	s.setWaiting(f, false)
+	f.target.flows--
+	to.flows++
+	if !f.opened {
+		f.target.opening--
+		to.opening++
+	}
+	f.target = to
+}
+
+func (s *Steerer) setWaiting(f *flow, waiting bool) {
+	if f.waiting == waiting {
+		return
+	}
+	f.waiting = waiting
+	if waiting {
+		f.waitingSince = s.now
+		f.target.busy++
+	} else {
+		f.target.busy--
+	}
+}
+
+// hash spreads flows; the copies of an opening packet have the same.
+func (k flowKey) hash() uint64 { return hashAddresses(k.caller, k.service) }
+
+func hashAddresses(a, b netip.AddrPort) uint64 {
+	var buffer [36]byte
+	x, y := a.Addr().As16(), b.Addr().As16()
+	copy(buffer[:16], x[:])
+	copy(buffer[16:32], y[:])
+	binary.BigEndian.PutUint16(buffer[32:], a.Port())
+	binary.BigEndian.PutUint16(buffer[34:], b.Port())
+	return xxhash.Sum64(buffer[:])
+}
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -51,9 +51,9 @@
 // fields describes what a conclusion rests on.
 func (h *health) fields(now timekeeper.Instant) []Field {
 	return []Field{
-		{"stalls", itoa(h.stalls)},
-		{"progressAgeMillis", millis(now.Since(h.lastProgress))},
-		{"lastProbe", h.outcome.String()},
+		field("stalls", itoa(h.stalls)),
+		field("progressAgeMillis", millis(now.Since(h.lastProgress))),
+		field("lastProbe", h.outcome.String()),
 	}
 }
 
@@ -69,7 +69,7 @@
 func (s *Steerer) notePause() {
 	if gap := s.now.Since(s.pause.lastTick); gap > pausedGap {
 		s.pause.trustDeadline = s.now.Add(pauseDistrust)
-		s.log("paused", Field{"gapMillis", millis(gap)})
+		s.log("paused", field("gapMillis", millis(gap)))
 	}
 	s.pause.lastTick = s.now
 }
@@ -86,7 +86,7 @@
 	h.stalls = 0
 	h.suspect = false
 	if h.unreachable() {
-		s.log("targetBack", append([]Field{{"target", t.ID}, {"cause", "progress"}}, h.fields(s.now)...)...)
+		s.log("targetBack", append([]Field{field("target", t.ID), field("cause", "progress")}, h.fields(s.now)...)...)
 		h.silentSince = 0
 	}
 }
@@ -100,7 +100,7 @@
 	}
 	if !h.suspect {
 		h.suspect = true
-		s.log("targetSuspected", append([]Field{{"target", t.ID}, {"cause", cause}}, h.fields(s.now)...)...)
+		s.log("targetSuspected", append([]Field{field("target", t.ID), field("cause", cause)}, h.fields(s.now)...)...)
 	}
 	s.probe(t)
 }
@@ -136,7 +136,7 @@
 	case ProbeSilent, ProbeRefused, ProbeOther:
 		s.noteSilence(t, e)
 	}
-	s.log("targetProbed", append([]Field{{"target", t.ID}, {"outcome", e.Outcome.String()}, {"tookMillis", millis(e.Took)}}, h.fields(s.now)...)...)
+	s.log("targetProbed", append([]Field{field("target", t.ID), field("outcome", e.Outcome.String()), field("tookMillis", millis(e.Took))}, h.fields(s.now)...)...)
 }
 
 // noteSilence takes a target out of reach, and tells the callers that wait for
@@ -157,7 +157,7 @@
 	if !h.unreachable() {
 		h.silentSince = s.now
 		s.peers.news = true
-		s.log("targetUnreachable", append([]Field{{"target", t.ID}}, h.fields(s.now)...)...)
+		s.log("targetUnreachable", append([]Field{field("target", t.ID)}, h.fields(s.now)...)...)
 	}
 	h.probeDeadline = s.now.Add(reprobeEvery)
 	s.resetWaiting(t)
--- a/core/steerer/leaving.go
+++ b/core/steerer/leaving.go
@@ -42,7 +42,7 @@
 	s.leaving.begun = true
 	s.leaving.earliest = s.now.Add(leaveAtLeast)
 	s.leaving.latest = s.now.Add(leaveAtMost)
-	s.log("leaving", Field{"openFlows", itoa(len(s.flows))})
+	s.log("leaving", field("openFlows", itoa(len(s.flows))))
 }
 
 func (s *Steerer) leavingTick() {
@@ -53,7 +53,7 @@
 	quiet := l.lastPacket.Add(leaveQuiet).Passed(s.now)
 	if quiet || l.latest.Passed(s.now) {
 		l.ended = true
-		s.log("left", Field{"quiet", btoa(quiet)})
+		s.log("left", field("quiet", btoa(quiet)))
 		s.emit(&Ended{})
 	}
 }
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -52,10 +52,10 @@
 	t.missing = false
 	t.warmUpDeadline = s.now.Add(record.WarmUp)
 	s.peers.changed(t, s.now)
-	s.log("targetChanged", Field{"target", t.ID}, Field{"service", t.Service}, Field{"address", t.Address.String()},
-		Field{"draining", btoa(t.Draining)}, Field{"revision", utoa(seen)}, Field{"from", from})
+	s.log("targetChanged", field("target", t.ID), field("service", t.Service), field("address", t.Address.String()),
+		field("draining", btoa(t.Draining)), field("revision", utoa(seen)), field("from", from))
 	if shared {
-		s.log("targetUnused", Field{"target", t.ID}, Field{"reason", "tagTaken"}, Field{"tag", t.tag.String()})
+		s.log("targetUnused", field("target", t.ID), field("reason", "tagTaken"), field("tag", t.tag.String()))
 	}
 }
 
@@ -66,7 +66,7 @@
 	s.targets.digestValid = false
 	t.missingSince = s.now
 	s.peers.changed(t, s.now)
-	s.log("targetMissing", append([]Field{{"target", t.ID}, {"draining", btoa(t.Draining)}, {"revision", utoa(seen)}, {"from", from}}, t.health.fields(s.now)...)...)
+	s.log("targetMissing", append([]Field{field("target", t.ID), field("draining", btoa(t.Draining)), field("revision", utoa(seen)), field("from", from)}, t.health.fields(s.now)...)...)
 }
 
 // gone reports whether a target may get no new flows since it is not listed.
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -129,7 +129,7 @@
 		s.counts.add(ReadsFailed)
 		if r.failedSince == 0 {
 			r.failedSince = s.now
-			s.log("platformLost", Field{"by", what}, Field{"error", err.Error()})
+			s.log("platformLost", field("by", what), field("error", err.Error()))
 		}
 		return
 	}
@@ -142,7 +142,7 @@
 // that this one learns from.
 func (s *Steerer) regained(by string) {
 	r := &s.reading
-	s.log("platformRegained", Field{"by", by}, Field{"lostMillis", millis(s.now.Since(r.failedSince))})
+	s.log("platformRegained", field("by", by), field("lostMillis", millis(s.now.Since(r.failedSince))))
 	r.failedSince = 0
 	r.returnedAt = s.now
 }
@@ -173,7 +173,7 @@
 	s.settings = settings
 	s.document = document
 	s.asking.behindSince = 0
-	s.log("settingsAdopted", Field{"version", utoa(settings.Version)}, Field{"routes", itoa(len(settings.Routes))}, Field{"from", from})
+	s.log("settingsAdopted", field("version", utoa(settings.Version)), field("routes", itoa(len(settings.Routes))), field("from", from))
 	s.peers.news = true
 }
 
@@ -184,7 +184,7 @@
 		return
 	}
 	for _, err := range e.List.Malformed {
-		s.log("targetMalformed", Field{"error", err.Error()})
+		s.log("targetMalformed", field("error", err.Error()))
 	}
 	s.takeList(e.List.Targets, e.List.Revision)
 }
--- /dev/null
+++ b/core/steerer/reports.go
@@ -0,0 +1,270 @@
+package steerer
+
+import (
+	"slices"
+	"time"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/timekeeper"
+	"github.com/cespare/xxhash/v2"
+)
+
+func (s *Steerer) reportReceived(e *ReportReceived) {
+	if e.From == s.config.Self {
+		return
+	}
+	r := e.Report
+	p := s.notePeer(e.From, r.Address)
+	// An older incarnation's report may be late. But clocks step back: a host that
+	// starts anew after that has a lower incarnation, and would be ignored for good.
+	if r.Incarnation < p.incarnation && p.hears(s.now) {
+		return
+	}
+	if p.heard == 0 || s.now.Since(p.heard) > peerMemory || p.incarnation != r.Incarnation {
+		s.log("peerHeard", field("peer", p.name), field("zone", r.AvailabilityZone), field("incarnation", utoa(r.Incarnation)), field("version", utoa(r.Version)))
+		p.nextDeadline = 0 // It may know nothing yet, so it is answered at once.
+	}
+	p.address = r.Address
+	p.zone = r.AvailabilityZone
+	p.incarnation = r.Incarnation
+	p.leaving = r.Leaving
+	p.heard = s.now
+	p.version = r.Version
+	p.revision = r.TargetsRevision
+	p.digest = r.TargetsDigest
+	s.takeBusy(p, r.Busy)
+	s.takeUnreachable(r.Unreachable)
+	for _, hint := range r.Hosts {
+		if hint.Name != s.config.Self {
+			s.notePeer(hint.Name, hint.Address)
+		}
+	}
+	s.compareSettings(r)
+	s.compareTargets(r, p.name)
+	if p.nextDeadline == 0 {
+		s.reportIfDue(p)
+	}
+	s.askingTick()
+}
+
+// takeBusy replaces what a host reported of its requests under way.
+func (s *Steerer) takeBusy(p *peer, busy map[uint32]uint16) {
+	for tag, n := range p.busy {
+		if t, ok := s.targets.byTag[Tag(tag)]; ok {
+			t.peersBusy = max(t.peersBusy-int(n), 0)
+		}
+	}
+	for tag, n := range busy {
+		if t, ok := s.targets.byTag[Tag(tag)]; ok {
+			t.peersBusy += int(n)
+		}
+	}
+	p.busy = busy
+}
+
+// compareSettings learns from a report how new the own settings are.
+func (s *Steerer) compareSettings(r *messenger.Report) {
+	switch {
+	case r.Version > s.version():
+		s.noteBehind()
+	case r.Version == s.version() && r.Version != 0:
+		s.confirm(&s.reading.settings, r.SettingsAge)
+	}
+}
+
+// compareTargets takes the changes in a report, and learns from it how new the
+// own list of targets is.
+func (s *Steerer) compareTargets(r *messenger.Report, from string) {
+	if s.targetsRevision == 0 {
+		return // The own first read is under way and brings all at once.
+	}
+	for _, state := range r.Changes {
+		s.takeState(state, from)
+	}
+	if r.TargetsRevision == 0 {
+		return
+	}
+	if r.TargetsDigest == s.targets.digest() {
+		s.confirm(&s.reading.targets, r.TargetsAge)
+		s.targetsRevision = max(s.targetsRevision, r.TargetsRevision)
+	}
+}
+
+// confirm takes over another host's confirmation if it is newer.
+func (s *Steerer) confirm(src *source, age time.Duration) {
+	if age >= unknownAge {
+		return
+	}
+	src.confirmed = max(src.confirmed, s.now.Add(-age))
+	if failed := s.reading.failedSince; failed != 0 && src.confirmed > failed {
+		s.regained("peer")
+	}
+}
+
+func (s *Steerer) takeState(state messenger.TargetState, from string) {
+	known, ok := s.targets.byID[state.ID]
+	if state.Missing {
+		if ok && !known.missing && state.Seen > known.seen {
+			s.takeMissing(known, state.Seen, from)
+		}
+		return
+	}
+	number, valid := NumberOf(state.ID)
+	if !valid {
+		return
+	}
+	s.takeRecord(Target{
+		ID: state.ID, Number: number, Service: state.Service, Address: state.Address,
+		AvailabilityZone: state.AvailabilityZone, Slots: state.Slots, Draining: state.Draining, WarmUp: state.WarmUp,
+	}, state.Seen, from)
+}
+
+// reportRound tells some hosts of a larger fleet, each as often as the others:
+// half of them in the own zone, where loads matter, half anywhere.
+func (s *Steerer) reportRound(all []*peer) {
+	p := &s.peers
+	told := 0
+	for home := range 2 {
+		for n := 0; n < len(all) && told < (home+1)*reportFanout/2; n++ {
+			if len(p.order) == 0 {
+				p.order = slices.Clone(all)
+				s.random.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+			}
+			at := slices.IndexFunc(p.order, func(one *peer) bool { return home == 1 || one.zone == s.config.AvailabilityZone })
+			if at < 0 {
+				break
+			}
+			one := p.order[at]
+			p.order = slices.Delete(p.order, at, at+1)
+			if one.leaving || s.peers.byName[one.name] != one {
+				continue
+			}
+			s.sendReport(one)
+			told++
+		}
+	}
+}
+
+// reportIfDue sends a host a report if it is time or if there is news.
+func (s *Steerer) reportIfDue(p *peer) {
+	if p.leaving || (!p.nextDeadline.Passed(s.now) && !s.peers.news) {
+		return
+	}
+	every := farReportEvery
+	if p.zone == s.config.AvailabilityZone {
+		every = reportEvery
+	}
+	if !p.hears(s.now) {
+		every = seedEvery
+	}
+	p.nextDeadline = s.now.Add(every)
+	s.sendReport(p)
+}
+
+func (s *Steerer) sendReport(p *peer) {
+	s.counts.add(ReportsSent)
+	s.emit(&SendReport{Host: p.name, Address: p.address, Report: s.report(p)})
+}
+
+// reportToSeeds reports to seed addresses at which no known host is.
+func (s *Steerer) reportToSeeds() {
+	for _, seed := range s.config.Seeds {
+		if seed == s.config.Address || !s.peers.seeds[seed].Passed(s.now) {
+			continue
+		}
+		s.peers.seeds[seed] = s.now.Add(seedEvery)
+		if slices.ContainsFunc(s.peers.ordered(), func(p *peer) bool { return p.address == seed }) {
+			continue
+		}
+		s.counts.add(ReportsSent)
+		s.emit(&SendReport{Address: seed, Report: s.report(&peer{})})
+	}
+}
+
+// report writes this host's report to another.
+func (s *Steerer) report(to *peer) *messenger.Report {
+	r := &messenger.Report{
+		Address:          s.config.Address,
+		AvailabilityZone: s.config.AvailabilityZone,
+		Incarnation:      s.config.Incarnation,
+		Leaving:          s.leaving.begun,
+		SettingsAge:      age(s.now, s.reading.settings.confirmed),
+		TargetsRevision:  s.targetsRevision,
+		TargetsAge:       age(s.now, s.reading.targets.confirmed),
+		TargetsDigest:    s.targets.digest(),
+		Hosts:            s.hints(to),
+		Version:          s.version(),
+	}
+	// Any of the changes, not the latest: those of one moment are told by turns.
+	changes := s.peers.changes
+	for i := range min(len(changes), maxChanges) {
+		c := changes[(s.peers.changeTurn+i)%len(changes)]
+		r.Changes = append(r.Changes, c.target.state(s.now))
+	}
+	s.peers.changeTurn += maxChanges
+	if to.zone == s.config.AvailabilityZone {
+		r.Busy = s.busy()
+		r.Unreachable = s.unreachable()
+	}
+	return r
+}
+
+// hints names some hosts that this one hears, others each time.
+func (s *Steerer) hints(to *peer) []messenger.HostHint {
+	var hints []messenger.HostHint
+	all := s.peers.ordered()
+	if len(all) == 0 {
+		return nil
+	}
+	start := s.random.IntN(len(all))
+	for i := range all {
+		p := all[(start+i)%len(all)]
+		if p.name == to.name || !p.hears(s.now) {
+			continue
+		}
+		hints = append(hints, messenger.HostHint{Name: p.name, Address: p.address})
+		if len(hints) == maxHints {
+			break
+		}
+	}
+	return hints
+}
+
+// busy counts this host's requests under way by target.
+func (s *Steerer) busy() map[uint32]uint16 {
+	busy := map[uint32]uint16{}
+	for _, t := range s.targets.ordered() {
+		if n := t.busy + t.opening; n > 0 {
+			busy[uint32(t.tag)] = uint16(min(n, 1<<16-1))
+		}
+	}
+	return busy
+}
+
+// state writes a target for a report.
+func (t *target) state(now timekeeper.Instant) messenger.TargetState {
+	return messenger.TargetState{
+		ID: t.ID, Seen: t.seen, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
+		Slots: t.Slots, Draining: t.Draining, Missing: t.missing, WarmUp: max(t.warmUpDeadline.Until(now), 0),
+	}
+}
+
+// digest is equal for tables that list the same targets in the same states. The
+// order plays no part.
+func (t *table) digest() uint64 {
+	if t.digestValid {
+		return t.digestValue
+	}
+	t.digestValue, t.digestValid = 0, true
+	for _, one := range t.byID {
+		if one.missing {
+			continue
+		}
+		state := one.ID + "\x00" + one.Service + "\x00" + one.Address.String()
+		if one.Draining {
+			state += "\x00draining"
+		}
+		t.digestValue += xxhash.Sum64String(state)
+	}
+	return t.digestValue
+}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"cranberryspan.dev/core/recorder"
 	"cranberryspan.dev/core/timekeeper"
 )
 
@@ -154,7 +155,7 @@
 func (s *Steerer) emit(effect Effect) { s.effects = append(s.effects, effect) }
 
 func (s *Steerer) log(event string, fields ...Field) {
-	s.emit(&Logged{Event: event, Fields: fields})
+	s.emit(&Logged{recorder.Line{Event: event, Fields: fields}})
 }
 
 func (s *Steerer) sendTarget(to *target, tag Tag, data []byte) {
