Load at unknown targets is not taken back; names and places after a reading

Cause: read in the code: a report's load at a target that was not known yet was not counted, and subtracted with the next report, for good. Before: TestLoadAtUnknownTargetsIsNotTakenBack red; after: green.

--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -49,9 +49,7 @@
 		return // The host is about to end.
 	}
 	e := r.metrics.exporter
-	for i, name := range snapshot.Counts.Names() {
-		e.Count("decisions", name, snapshot.Counts[i])
-	}
+	snapshot.Counts.Each(func(name string, value uint64) { e.Count("decisions", name, value) })
 	for name, read := range r.transport {
 		e.Count("transport", name, read())
 	}
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -72,11 +72,9 @@
 	return snapshot
 }
 
-// Names lists the names of all counts in their order in Counts.
-func (Counts) Names() []string {
-	names := make([]string, numCounts)
-	for c := range numCounts {
-		names[c] = c.String()
+// Each calls a function with each count's name and value.
+func (c *Counts) Each(do func(name string, value uint64)) {
+	for count, value := range c {
+		do(Count(count).String(), value)
 	}
-	return names
 }
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -109,10 +109,10 @@
 }
 
 func (s *Steerer) expireFlows() {
-	if !s.pause.sweepDeadline.Passed(s.now) {
+	if !s.flowSweepDeadline.Passed(s.now) {
 		return
 	}
-	s.pause.sweepDeadline = s.now.Add(flowSweepEvery)
+	s.flowSweepDeadline = s.now.Add(flowSweepEvery)
 	idle := defaultIdle
 	if s.settings != nil && s.settings.IdleTimeout > 0 {
 		idle = s.settings.IdleTimeout
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -52,16 +52,16 @@
 func (h *health) fields(now timekeeper.Instant) []Field {
 	return []Field{
 		field("stalls", itoa(h.stalls)),
-		field("progressAgeMillis", millis(now.Since(h.lastProgress))),
+		field("progressAgeMillis", ageText(now, h.lastProgress)),
 		field("lastProbe", h.outcome.String()),
 	}
 }
 
 // pause notices that the process stood still.
 type pause struct {
-	lastTick      timekeeper.Instant
+	lastTick timekeeper.Instant
+	// trustDeadline is until when silence means nothing.
 	trustDeadline timekeeper.Instant
-	sweepDeadline timekeeper.Instant
 }
 
 // notePause keeps a host that stood still from blaming targets: their answers
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -122,11 +122,14 @@
 }
 
 // targetsAge tells how old the knowledge of targets is, for logs.
-func (s *Steerer) targetsAge() string {
-	if s.reading.targets.confirmed == 0 {
+func (s *Steerer) targetsAge() string { return ageText(s.now, s.reading.targets.confirmed) }
+
+// ageText writes how long ago a moment was, in milliseconds, for logs.
+func ageText(now, moment timekeeper.Instant) string {
+	if moment == 0 {
 		return "never"
 	}
-	return millis(s.now.Since(s.reading.targets.confirmed))
+	return millis(now.Since(moment))
 }
 
 // age is how old a confirmation is; unknownAge if there is none.
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -47,19 +47,21 @@
 	s.askingTick()
 }
 
-// takeBusy replaces what a host reported of its requests under way.
+// takeBusy replaces what a host reported of its requests under way. Only what was
+// counted may be taken back later: a target may not be known yet.
 func (s *Steerer) takeBusy(p *peer, busy map[uint32]uint16) {
 	for tag, n := range p.busy {
 		if t, ok := s.targets.byTag[Tag(tag)]; ok {
 			t.peersBusy = max(t.peersBusy-int(n), 0)
 		}
 	}
+	p.busy = make(map[uint32]uint16, len(busy))
 	for tag, n := range busy {
 		if t, ok := s.targets.byTag[Tag(tag)]; ok {
 			t.peersBusy += int(n)
+			p.busy[tag] = n
 		}
 	}
-	p.busy = busy
 }
 
 // compareSettings learns from a report how new the own settings are.
--- /dev/null
+++ b/core/steerer/reports_internal_test.go
@@ -0,0 +1,30 @@
+package steerer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/timekeeper"
+	"github.com/stretchr/testify/require"
+)
+
+// Symptom: new flows pile up on a target that is busy. Sequence: one host reports
+// load at a target that this one does not know yet; this one learns of it; a second
+// host reports load there; the first reports again. Cause: load is taken back that
+// was never counted.
+func TestLoadAtUnknownTargetsIsNotTakenBack(t *testing.T) {
+	at := timekeeper.Instant(time.Second)
+	s := New(Config{Self: "a1", AvailabilityZone: "a", Start: at, MaxFlows: 10})
+	report := func(from string, busy uint16) {
+		s.Reduce(&ReportReceived{At: at, From: from, Report: &messenger.Report{
+			Address: netip.MustParseAddrPort("10.0.0.1:7000"), AvailabilityZone: "a", Incarnation: 1, Busy: map[uint32]uint16{7: busy},
+		}})
+	}
+	report("a2", 5)
+	s.Reduce(&TargetsRead{At: at, Started: at, List: TargetList{Revision: 1, Targets: []Target{{ID: "i-7", Number: 7, Service: "ledger", Slots: 3}}}})
+	report("a3", 4)
+	report("a2", 0)
+	require.Equal(t, 4, s.targets.byID["i-7"].peersBusy)
+}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -67,13 +67,15 @@
 	// in targets; 0 before any.
 	targetsRevision uint64
 
-	flows   map[flowKey]*flow
-	opening []openingCheck
-	reading reading
-	asking  asking
-	peers   peers
-	pause   pause
-	leaving leaving
+	flows map[flowKey]*flow
+	// flowSweepDeadline is when forgotten flows are next looked for.
+	flowSweepDeadline timekeeper.Instant
+	opening           []openingCheck
+	reading           reading
+	asking            asking
+	peers             peers
+	pause             pause
+	leaving           leaving
 
 	effects   []Effect
 	toTargets []ToTarget
