--- a/standin/internal/answerer/answerer.go
+++ b/standin/internal/answerer/answerer.go
@@ -101,6 +101,8 @@
 	record *Record
 	conn   *net.UDPConn
 	http   *http.Server
+	// ends waits for what holds the target's address.
+	ends sync.WaitGroup
 
 	mu    sync.Mutex
 	flows map[flowKey]*flow
@@ -143,8 +145,8 @@
 	}
 	t := &Target{config: config, number: number, record: record, conn: conn, flows: map[flowKey]*flow{}, calm: calm, work: make(chan job, 64)}
 	t.http = &http.Server{Handler: http.HandlerFunc(t.health), ReadHeaderTimeout: time.Second}
-	go func() { _ = t.http.Serve(listener) }() // It ends with Stop.
-	go t.read()
+	t.ends.Go(func() { _ = t.http.Serve(listener) }) // It ends with Stop.
+	t.ends.Go(t.read)
 	go t.tick(ctx)
 	for range config.Entry.Slots {
 		go t.run(ctx)
@@ -165,6 +167,13 @@
 	_ = t.conn.Close()
 }
 
+// Close ends the target and returns when its address is free. A socket stays open
+// until whoever reads it has returned.
+func (t *Target) Close() {
+	t.Stop()
+	t.ends.Wait()
+}
+
 // Darken makes the target silent. Its liveness checks are refused: a process can't
 // make its own kernel ignore a handshake.
 func (t *Target) Darken() {
--- a/standin/internal/asker/asker.go
+++ b/standin/internal/asker/asker.go
@@ -59,6 +59,7 @@
 	address netip.Addr
 	conn    *net.UDPConn
 	hand    Hand
+	ends    sync.WaitGroup
 
 	mu    sync.Mutex
 	flows map[uint16]*Flow
@@ -90,13 +91,16 @@
 		return nil, err
 	}
 	c := &Caller{address: address, conn: conn, hand: hand, flows: map[uint16]*Flow{}, port: 1024}
-	go c.read()
+	c.ends.Go(c.read)
 	go c.tick(ctx)
 	return c, nil
 }
 
-// Close frees the caller's address.
-func (c *Caller) Close() { _ = c.conn.Close() }
+// Close frees the caller's address, and returns when it is free.
+func (c *Caller) Close() {
+	_ = c.conn.Close()
+	c.ends.Wait()
+}
 
 // Open sends the opening packet of a new flow.
 func (c *Caller) Open(service netip.AddrPort) *Flow {
--- a/standin/internal/soaker/fleet.go
+++ b/standin/internal/soaker/fleet.go
@@ -49,6 +49,7 @@
 	store    *platformtest.Store
 	hosts    []*process
 	servers  []*http.Server
+	ends     sync.WaitGroup
 	mu       sync.Mutex
 	problems []string
 }
@@ -103,7 +104,7 @@
 	}
 	server := &http.Server{Handler: f.store.Handler(name), ReadHeaderTimeout: time.Second}
 	f.servers = append(f.servers, server)
-	go func() { _ = server.Serve(listener) }() // It ends with stop.
+	f.ends.Go(func() { _ = server.Serve(listener) }) // It ends with stop.
 	f.hosts = append(f.hosts, h)
 	return nil
 }
@@ -213,4 +214,5 @@
 	for _, server := range f.servers {
 		_ = server.Close()
 	}
+	f.ends.Wait()
 }
--- a/standin/internal/soaker/proxy.go
+++ b/standin/internal/soaker/proxy.go
@@ -25,6 +25,7 @@
 	real     netip.AddrPort
 	conn     *net.UDPConn
 	listener net.Listener
+	ends     sync.WaitGroup
 
 	mu sync.Mutex
 	// from holds the harm to datagrams by the sender's address; toHere that to
@@ -44,14 +45,15 @@
 		return nil, err
 	}
 	p := &proxy{real: real, conn: conn, listener: listener, from: map[netip.AddrPort]Harm{}}
-	go p.datagrams()
-	go p.connections(ctx)
+	p.ends.Go(p.datagrams)
+	p.ends.Go(func() { p.connections(ctx) })
 	return p, nil
 }
 
 func (p *proxy) close() {
 	_ = p.conn.Close()
 	_ = p.listener.Close()
+	p.ends.Wait()
 }
 
 func (p *proxy) harm(from netip.AddrPort, h Harm) {
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -142,11 +142,12 @@
 func (s *soak) end() {
 	s.fleet.stop()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, t := range s.started {
-		t.Stop()
+	targets, callers := s.started, s.callers
+	s.mu.Unlock() // Targets ask for calm while they end.
+	for _, t := range targets {
+		t.Close()
 	}
-	for _, c := range s.callers {
+	for _, c := range callers {
 		c.Close()
 	}
 }
