One unreadable route takes nothing from the others; spanctl on published settings

Cause: a published document was read as a whole, so one route in a form that a host does not know kept the version out of force everywhere, and would have stayed unseen until the settings were due.

spanctl check, explain and diff read published settings, and spanctl targets tells why new flows avoid a target.

Ruled out: refusing just the version (removed routes and time-outs would stay in force for good); dropping the route (its open flows would be reset).

--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -112,6 +112,7 @@
 	if r.metrics.exporter, err = exporter.New(config.AdminAddress, config.Name, flushEvery); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
+	r.metrics.exporter.Mux.HandleFunc("GET /targets", r.serveTargets)
 	r.metrics.latencies = map[string]tally.Histogram{}
 	r.transport = r.transportCounters()
 	return r, nil
--- /dev/null
+++ b/core/steerer/explaining.go
@@ -0,0 +1,118 @@
+package steerer
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// Finding is something in published settings that an operator should look at.
+type Finding struct {
+	// Path names a route or a service.
+	Path    string `json:"path"`
+	Problem string `json:"problem"`
+	// Effect tells what hosts do about it.
+	Effect string `json:"effect"`
+}
+
+// Check lists what is wrong with a version, sorted by path.
+func (s *Settings) Check() []Finding {
+	var findings []Finding
+	for _, fault := range s.Faults {
+		findings = append(findings, Finding{fault.Route, fault.Err.Error(), "the route stays as the version before had it, if it had one"})
+	}
+	addresses := map[netip.AddrPort]string{}
+	for _, route := range s.Routes {
+		findings = append(findings, s.checkRoute(route)...)
+		if other, taken := addresses[route.Address]; taken {
+			findings = append(findings, Finding{route.Name, fmt.Sprintf("%v is the address of %s, too", route.Address, other), "one of the two gets all flows"})
+		}
+		addresses[route.Address] = route.Name
+	}
+	slices.SortStableFunc(findings, func(x, y Finding) int { return strings.Compare(x.Path, y.Path) })
+	return findings
+}
+
+func (s *Settings) checkRoute(route Route) []Finding {
+	var findings []Finding
+	total := 0
+	for _, share := range route.Shares {
+		total += max(share.Weight, 0)
+		if share.Weight < 0 {
+			findings = append(findings, Finding{route.Name, fmt.Sprintf("weight %d of %s is below zero", share.Weight, share.Service), "flows are spread in other parts than written"})
+		}
+		if len(s.Services) > 0 && !slices.ContainsFunc(s.Services, func(one Service) bool { return one.Name == share.Service }) {
+			findings = append(findings, Finding{route.Name, "service " + share.Service + " is not listed", "its targets are checked at " + defaultHealthPath})
+		}
+	}
+	if total == 0 {
+		findings = append(findings, Finding{route.Name, "all weights are zero", "all flows go to " + route.Shares[0].Service})
+	}
+	if route.Timeout <= 0 {
+		findings = append(findings, Finding{route.Name, "no timeout", "an unanswered request counts as load until the flow's next packet, or for a second"})
+	}
+	return findings
+}
+
+// InForce is one value that is in force.
+type InForce struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+	// From says where the value stands, or that it is built in.
+	From string `json:"from"`
+}
+
+// builtIn is where a value comes from that settings do not name.
+const builtIn = "built in"
+
+// Explain lists the values in force for a route, by name or address, or for a
+// service. It reports whether there is one.
+func (s *Settings) Explain(path string) ([]InForce, bool) {
+	for _, route := range s.Routes {
+		if route.Name == path || route.Address.String() == path {
+			return s.explainRoute(route), true
+		}
+	}
+	var values []InForce
+	for _, route := range s.Routes {
+		for _, share := range route.Shares {
+			if share.Service == path {
+				values = append(values, InForce{"route", fmt.Sprintf("%s at %v, weight %d", route.Name, route.Address, share.Weight), "routes." + route.Name})
+			}
+		}
+	}
+	listed := slices.ContainsFunc(s.Services, func(one Service) bool { return one.Name == path })
+	if len(values) == 0 && !listed {
+		return nil, false
+	}
+	return append(values, s.explainHealthPath(path)), true
+}
+
+func (s *Settings) explainHealthPath(service string) InForce {
+	from := builtIn
+	if slices.ContainsFunc(s.Services, func(one Service) bool { return one.Name == service }) {
+		from = "services." + service
+	}
+	return InForce{"liveness check of " + service, s.healthPath(service), from}
+}
+
+func (s *Settings) explainRoute(route Route) []InForce {
+	from := "routes." + route.Name
+	values := []InForce{
+		{"address", route.Address.String(), from},
+		{"kind", route.Kind.String(), from},
+		{"timeout", route.Timeout.String(), from},
+		{"latency objective", route.LatencyObjective.String(), from},
+		{"priority", fmt.Sprint(route.Priority), from},
+	}
+	for _, share := range route.Shares {
+		values = append(values, InForce{"weight of " + share.Service, fmt.Sprint(share.Weight), from}, s.explainHealthPath(share.Service))
+	}
+	idle := InForce{"idle flows are forgotten after", cmp.Or(s.IdleTimeout, defaultIdle).String(), "limits"}
+	if s.IdleTimeout == 0 {
+		idle.From = builtIn
+	}
+	return append(values, idle)
+}
--- /dev/null
+++ b/core/steerer/inspecting.go
@@ -0,0 +1,52 @@
+package steerer
+
+// TargetStatus is what a host believes of a target, for operators.
+type TargetStatus struct {
+	Target           string `json:"target"`
+	Service          string `json:"service"`
+	AvailabilityZone string `json:"availabilityZone"`
+	Address          string `json:"address"`
+	Slots            int    `json:"slots"`
+	// Flows counts the flows through this host, Busy those of them that wait for an
+	// answer or have not opened yet, PeersBusy those of the zone's other hosts.
+	Flows     int `json:"flows"`
+	Busy      int `json:"busy"`
+	PeersBusy int `json:"peersBusy"`
+	// Avoided says why new flows go elsewhere; empty if nothing speaks against the
+	// target but its load.
+	Avoided string `json:"avoided,omitempty"`
+}
+
+// TargetStatuses lists all targets that this host knows, by ID.
+func (s *Steerer) TargetStatuses() []TargetStatus {
+	list := make([]TargetStatus, 0, len(s.targets.byID))
+	for _, t := range s.targets.ordered() {
+		list = append(list, TargetStatus{
+			Target: t.ID, Service: t.Service, AvailabilityZone: t.AvailabilityZone, Address: t.Address.String(), Slots: t.Slots,
+			Flows: t.flows, Busy: t.busy + t.opening, PeersBusy: t.peersBusy, Avoided: s.avoided(t),
+		})
+	}
+	return list
+}
+
+// avoided says why new flows go elsewhere, the strongest reason first; see
+// takesFlows and load.
+func (s *Steerer) avoided(t *target) string {
+	switch {
+	case s.targets.byTag[t.tag] != t:
+		return "another target has its tag"
+	case t.Draining:
+		return "draining"
+	case t.missing:
+		return "no longer listed for " + ageText(s.now, t.missingSince) + " ms"
+	case t.health.unreachable():
+		return "no answer for " + ageText(s.now, t.health.silentSince) + " ms, last check " + t.health.outcome.String()
+	case t.health.suspect:
+		return "suspected, last sign of life " + ageText(s.now, t.health.lastProgress) + " ms ago"
+	case !t.health.unwillingDeadline.Passed(s.now):
+		return "wants no work, says its liveness check"
+	case !t.warmUpDeadline.Passed(s.now):
+		return "slow for " + millis(t.warmUpDeadline.Until(s.now)) + " ms more after its start"
+	}
+	return ""
+}
--- /dev/null
+++ b/core/steerer/inspecting_test.go
@@ -0,0 +1,39 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+// Operators ask why a target gets no work; each reason has its words.
+func TestStatusTellsWhyTargetsAreAvoided(t *testing.T) {
+	f := newFleet(t, 1)
+	f.drain("i-10000001")
+	f.remove("i-10000002")
+	warming := f.targets["i-10000003"]
+	warming.WarmUp = time.Minute
+	f.targets["i-10000003"] = warming
+	f.step(2 * time.Second)
+	silent := f.caller(1, readRoute)
+	silent.open("a1", 0)
+	f.outcomes[silent.target] = steerer.ProbeSilent
+	silent.establish("a1")
+	silent.ask("a1")
+	f.step(250 * time.Millisecond)
+	silent.repeat("a1")
+	f.step(400 * time.Millisecond)
+
+	avoided := map[string]string{}
+	for _, status := range f.hosts["a1"].steerer.TargetStatuses() {
+		avoided[status.Target] = status.Avoided
+	}
+	require.Len(t, avoided, 9)
+	require.Equal(t, "draining", avoided["i-10000001"])
+	require.Contains(t, avoided["i-10000002"], "no longer listed")
+	require.Contains(t, avoided["i-10000003"], "slow for")
+	require.Contains(t, avoided[silent.target], "no answer for")
+	require.Empty(t, avoided["i-20000001"])
+}
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -160,6 +160,7 @@
 	if s.settings != nil && settings.Version <= s.settings.Version {
 		return
 	}
+	settings = settings.keeping(s.settings)
 	if s.settings != nil {
 		for _, route := range s.settings.Routes {
 			if _, ok := settings.RouteAt(route.Address); !ok {
@@ -174,6 +175,9 @@
 	s.document = document
 	s.asking.behindSince = 0
 	s.log("settingsAdopted", field("version", utoa(settings.Version)), field("routes", itoa(len(settings.Routes))), field("from", from))
+	for _, fault := range settings.Faults {
+		s.log("routeMalformed", field("route", fault.Route), field("error", fault.Err.Error()), field("version", utoa(settings.Version)))
+	}
 	s.peers.news = true
 }
 
--- a/core/steerer/reading_test.go
+++ b/core/steerer/reading_test.go
@@ -254,3 +254,22 @@
 	require.Len(t, later.Targets, 1)
 	require.True(t, later.Targets[0].Draining)
 }
+
+// Symptom: flows of a route are refused, and its open ones reset, though operators
+// only changed a detail of it. Sequence: the new version has the route in a form that
+// hosts can't read. Cause: what can't be read is taken for removed.
+func TestRouteThatCannotBeReadStaysAsItWas(t *testing.T) {
+	f := newFleet(t, 1)
+	fault := steerer.RouteFault{Route: "upload", Err: errDown}
+	f.settings = settingsOf(2, routes()[:2]).WithFaults([]steerer.RouteFault{fault})
+	f.step(2 * time.Second)
+	c := f.caller(1, uploadRoute)
+	c.open("a1", 0)
+	require.NotEmpty(t, c.target)
+	require.Equal(t, uint64(2), f.hosts["a1"].steerer.Snapshot().Version)
+	f.settings = settingsOf(3, routes()[:2])
+	f.step(2 * time.Second)
+	late := f.caller(2, uploadRoute)
+	late.open("a1", 0)
+	require.Empty(t, late.target, "version 3 has no such route")
+}
--- a/core/steerer/settings.go
+++ b/core/steerer/settings.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -87,7 +88,47 @@
 	Services []Service
 	// IdleTimeout is after how long an idle flow may be forgotten.
 	IdleTimeout time.Duration
-	byAddress   map[netip.AddrPort]int
+	// Faults lists the published routes that could not be read.
+	Faults    []RouteFault
+	byAddress map[netip.AddrPort]int
+}
+
+// RouteFault is a published route that could not be read, with the reason.
+type RouteFault struct {
+	Route string
+	Err   error
+}
+
+// MarshalText writes a fault for operators.
+func (f RouteFault) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+func (f RouteFault) String() string { return fmt.Sprintf("route %q: %v", f.Route, f.Err) }
+
+// WithFaults returns the settings with a list of routes that could not be read.
+func (s *Settings) WithFaults(faults []RouteFault) *Settings {
+	next := *s
+	next.Faults = faults
+	return &next
+}
+
+// keeping returns the settings with the routes of an earlier version that could not
+// be read in this one.
+//
+// What goes wrong otherwise: operators publish a route in a form that this host does
+// not know yet. It takes the route for removed, refuses its new flows and resets its
+// open ones, while the operators only changed a detail.
+func (s *Settings) keeping(earlier *Settings) *Settings {
+	if earlier == nil || len(s.Faults) == 0 {
+		return s
+	}
+	routes := slices.Clone(s.Routes)
+	for _, fault := range s.Faults {
+		route, known := earlier.named(fault.Route)
+		if _, taken := s.RouteAt(route.Address); known && !taken {
+			routes = append(routes, route)
+		}
+	}
+	return NewSettings(s.Version, routes, s.Services, s.IdleTimeout).WithFaults(s.Faults)
 }
 
 // NewSettings indexes a version.
--- a/operator/internal/asker/asker.go
+++ b/operator/internal/asker/asker.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cranberryspan.dev/core/reducer"
+	"cranberryspan.dev/core/steerer"
 )
 
 // Kind tells callers which sort of failure an Error is.
@@ -59,6 +60,11 @@
 	return read[[]reducer.FlowStatus](ctx, a.client, admin, "/flows", url.Values{"limit": {fmt.Sprint(limit)}})
 }
 
+// Targets reads what a host of the flow edge believes of its targets.
+func (a *Asker) Targets(ctx context.Context, admin string) ([]steerer.TargetStatus, error) {
+	return read[[]steerer.TargetStatus](ctx, a.client, admin, "/targets", nil)
+}
+
 func read[T any](ctx context.Context, client *http.Client, admin, path string, query url.Values) (T, error) {
 	op := "ask host at " + admin
 	var value T
--- a/operator/internal/printer/routes.go
+++ b/operator/internal/printer/routes.go
@@ -18,12 +18,65 @@
 	})
 }
 
+// CheckedPublished writes that a published version has no faults.
+func (p Printer) CheckedPublished(file string, settings *steerer.Settings) error {
+	summary := struct {
+		File     string `json:"file"`
+		Valid    bool   `json:"valid"`
+		Version  uint64 `json:"version"`
+		Routes   int    `json:"routes"`
+		Services int    `json:"services"`
+	}{file, true, settings.Version, len(settings.Routes), len(settings.Services)}
+	return p.print(summary, func(w io.Writer) {
+		row(w, fmt.Sprintf("%s: valid: version %d, %d routes, %d services", file, summary.Version, summary.Routes, summary.Services))
+	})
+}
+
+// PublishedFindings writes what is wrong with a published version.
+func (p Printer) PublishedFindings(findings []steerer.Finding) error {
+	return p.print(findings, func(w io.Writer) {
+		row(w, "PATH", "PROBLEM", "EFFECT")
+		for _, f := range findings {
+			row(w, f.Path, f.Problem, f.Effect)
+		}
+	})
+}
+
 // Differences writes what a change of published settings does.
 func (p Printer) Differences(differences []steerer.Difference) error {
 	return p.print(differences, func(w io.Writer) {
+		if len(differences) == 0 {
+			row(w, "no change")
+			return
+		}
 		row(w, "ROUTE", "CHANGE", "EFFECT")
 		for _, d := range differences {
 			row(w, d.Route, d.Change, d.Effect)
 		}
 	})
 }
+
+// HostTargets is what one host believes of its targets, or why it said nothing.
+type HostTargets struct {
+	Admin   string                 `json:"admin"`
+	Targets []steerer.TargetStatus `json:"targets,omitempty"`
+	Error   string                 `json:"error,omitempty"`
+}
+
+// Targets writes what hosts believe of their targets. Text leaves out targets
+// without flows against which nothing speaks.
+func (p Printer) Targets(hosts []HostTargets) error {
+	return p.print(hosts, func(w io.Writer) {
+		row(w, "HOST", "TARGET", "SERVICE", "ZONE", "SLOTS", "FLOWS", "BUSY", "PEERS BUSY", "AVOIDED")
+		for _, h := range hosts {
+			if h.Error != "" {
+				row(w, h.Admin, h.Error)
+			}
+			for _, t := range h.Targets {
+				if t.Flows > 0 || t.Avoided != "" {
+					row(w, h.Admin, t.Target, t.Service, t.AvailabilityZone, t.Slots, t.Flows, t.Busy, t.PeersBusy, t.Avoided)
+				}
+			}
+		}
+	})
+}
--- a/operator/main.go
+++ b/operator/main.go
@@ -59,11 +59,12 @@
 			&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json"},
 		},
 		Commands: []*cli.Command{
-			{Name: "check", Usage: "report everything that is wrong with a settings tree", ArgsUsage: "FILE", Action: check(out)},
-			{Name: "explain", Usage: "list the values in force at a path and where they come from", ArgsUsage: "FILE PATH", Action: explain(out)},
+			{Name: "check", Usage: "report everything that is wrong with a settings tree, or with published settings", ArgsUsage: "FILE", Action: check(out)},
+			{Name: "explain", Usage: "list the values in force at a path, or for a published route or service, and where they come from", ArgsUsage: "FILE PATH", Action: explain(out)},
 			{Name: "diff", Usage: "list what a change alters and what it does to flows", ArgsUsage: "OLD NEW", Action: diff(out)},
 			{Name: "routes", Usage: "show published routes, or what a change of them does to flows", ArgsUsage: "FILE [NEW]", Action: routes(out)},
 			{Name: "status", Usage: "show the state of hosts", ArgsUsage: "ADMIN...", Action: status(out)},
+			{Name: "targets", Usage: "show what hosts of the flow edge believe of their targets, and why new flows avoid some", ArgsUsage: "ADMIN...", Action: targets(out)},
 			{Name: "flows", Usage: "list flows that a host remembers", ArgsUsage: "ADMIN", Action: flows(out), Flags: []cli.Flag{
 				&cli.IntFlag{Name: "limit", Value: 20, Usage: "how many at most"},
 			}},
@@ -88,46 +89,64 @@
 	return command.Args().Slice(), p, err
 }
 
-func resolve(path string) (*resolver.Settings, error) {
-	document, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "read settings tree")
-	}
-	return resolver.Resolve(path, document)
-}
-
 func check(out io.Writer) cli.ActionFunc {
 	return func(_ context.Context, command *cli.Command) error {
 		args, p, err := prepare(out, command, 1)
 		if err != nil {
 			return err
 		}
-		settings, err := resolve(args[0])
-		var invalid *resolver.Error
-		if errors.As(err, &invalid) && len(invalid.Findings) > 0 {
-			if err := p.Findings(invalid.Findings); err != nil {
-				return err
-			}
-			return &resolver.Error{Op: invalid.Op, Kind: invalid.Kind, Err: errors.Newf("%d findings", len(invalid.Findings))}
-		}
+		file, err := readSource(args[0])
 		if err != nil {
 			return err
 		}
-		return p.Checked(args[0], settings)
+		if file.isPublished() {
+			return checkPublished(p, file)
+		}
+		return checkTree(p, file)
 	}
 }
 
+func checkTree(p printer.Printer, file source) error {
+	settings, err := file.tree()
+	var invalid *resolver.Error
+	if errors.As(err, &invalid) && len(invalid.Findings) > 0 {
+		if err := p.Findings(invalid.Findings); err != nil {
+			return err
+		}
+		return &resolver.Error{Op: invalid.Op, Kind: invalid.Kind, Err: errors.Newf("%d findings", len(invalid.Findings))}
+	}
+	if err != nil {
+		return err
+	}
+	return p.Checked(file.path, settings)
+}
+
+func checkPublished(p printer.Printer, file source) error {
+	settings, err := file.published()
+	if err != nil {
+		return err
+	}
+	findings := settings.Check()
+	if len(findings) == 0 {
+		return p.CheckedPublished(file.path, settings)
+	}
+	if err := p.PublishedFindings(findings); err != nil {
+		return err
+	}
+	return &resolver.Error{Op: "check published settings", Kind: resolver.KindInvalid, Err: errors.Newf("%d findings", len(findings))}
+}
+
 func explain(out io.Writer) cli.ActionFunc {
 	return func(_ context.Context, command *cli.Command) error {
 		args, p, err := prepare(out, command, 2)
 		if err != nil {
 			return err
 		}
-		settings, err := resolve(args[0])
+		file, err := readSource(args[0])
 		if err != nil {
 			return err
 		}
-		values, err := settings.Explain(args[1])
+		values, err := valuesAt(file, args[1])
 		if err != nil {
 			return err
 		}
@@ -135,17 +154,40 @@
 	}
 }
 
+// valuesAt lists what is in force at a path of either sort of settings.
+func valuesAt(file source, path string) ([]resolver.Value, error) {
+	if file.isPublished() {
+		return explainPublished(file, path)
+	}
+	settings, err := file.tree()
+	if err != nil {
+		return nil, err
+	}
+	return settings.Explain(path)
+}
+
 func diff(out io.Writer) cli.ActionFunc {
 	return func(_ context.Context, command *cli.Command) error {
 		args, p, err := prepare(out, command, 2)
 		if err != nil {
 			return err
 		}
-		before, err := resolve(args[0])
+		older, newer, err := readPair(args[0], args[1])
 		if err != nil {
 			return err
 		}
-		after, err := resolve(args[1])
+		if older.isPublished() {
+			differences, err := comparePublished(older, newer)
+			if err != nil {
+				return err
+			}
+			return p.Differences(differences)
+		}
+		before, err := older.tree()
+		if err != nil {
+			return err
+		}
+		after, err := newer.tree()
 		if err != nil {
 			return err
 		}
@@ -189,6 +231,30 @@
 	return hosts, failure
 }
 
+func targets(out io.Writer) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		if command.Args().Len() == 0 {
+			return errors.Newf("usage: spanctl targets %s", command.ArgsUsage)
+		}
+		p, err := newPrinter(out, command)
+		if err != nil {
+			return err
+		}
+		var hosts []printer.HostTargets
+		var failure error
+		hostAsker := asker.New()
+		for _, admin := range command.Args().Slice() {
+			host := printer.HostTargets{Admin: admin}
+			if host.Targets, err = hostAsker.Targets(ctx, admin); err != nil {
+				host.Error = err.Error()
+				failure = err
+			}
+			hosts = append(hosts, host)
+		}
+		return errors.CombineErrors(p.Targets(hosts), failure)
+	}
+}
+
 func flows(out io.Writer) cli.ActionFunc {
 	return func(ctx context.Context, command *cli.Command) error {
 		args, p, err := prepare(out, command, 1)
--- a/operator/main_test.go
+++ b/operator/main_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -123,3 +127,62 @@
 	code, _, _ = spanctl("routes")
 	require.Equal(t, exitUsage, code)
 }
+
+// Operators who know check, explain and diff from trees use them on what is
+// published, too.
+func TestCommandsOnPublishedSettings(t *testing.T) {
+	before, after := write(t, "before.json", publishedBefore), write(t, "after.json", publishedAfter)
+	odd := write(t, "odd.json", `{"version":7,"services":[{"name":"ledger","health_check_path":"/well"}],"routes":[
+{"name":"r-a","host":"198.18.0.1","prefix":"/443/","type":"later","timeout_ms":2500,"service":"ledger"},
+{"name":"r-b","host":"198.18.0.1","prefix":"/443/","type":"upload","timeout_ms":2500,"service":"nobody"},
+{"name":"r-c","host":"here"}]}`)
+	tree := write(t, "tree.yaml", tree)
+	tests := []struct {
+		name     string
+		args     []string
+		code     int
+		contains []string
+	}{
+		{"check valid", []string{"check", before}, exitOK, []string{"valid: version 7, 2 routes"}},
+		{"check reports all", []string{"check", odd}, exitInvalid, []string{`unknown type "later"`, "198.18.0.1:443 is the address of r-a, too", "service nobody is not listed", "r-c"}},
+		{"check no JSON", []string{"check", write(t, "broken.json", `{"version":`)}, exitInvalid, nil},
+		{"explain a route", []string{"explain", before, "r-a"}, exitOK, []string{"2.5s", "routes.r-a", "idempotent", "built in"}},
+		{"explain an address", []string{"explain", before, "198.18.0.2:8443"}, exitOK, []string{"upload"}},
+		{"explain a service", []string{"explain", odd, "ledger"}, exitOK, []string{"r-a at 198.18.0.1:443", "/well", "services.ledger"}},
+		{"explain unknown", []string{"explain", before, "nobody"}, exitInvalid, nil},
+		{"diff", []string{"diff", before, after}, exitOK, []string{"timeout: 2.5s -> 2s", "removed", "added at 198.18.0.3:443"}},
+		{"diff of the same", []string{"diff", before, before}, exitOK, []string{"no change"}},
+		{"diff of two sorts", []string{"diff", tree, after}, exitUsage, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			code, out, problems := spanctl(test.args...)
+			require.Equal(t, test.code, code, problems)
+			for _, part := range test.contains {
+				require.Contains(t, out, part)
+			}
+			if code != exitOK {
+				require.NotEmpty(t, problems)
+			}
+		})
+	}
+}
+
+func TestTargetsOfAHost(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "/targets", r.URL.Path)
+		_, _ = io.WriteString(w, `[{"target":"i-1","service":"ledger","slots":3,"avoided":"draining"},{"target":"i-2","service":"ledger","flows":4},{"target":"i-3"}]`)
+	}))
+	defer host.Close()
+	admin := strings.TrimPrefix(host.URL, "http://")
+	code, out, _ := spanctl("targets", admin)
+	require.Equal(t, exitOK, code)
+	require.Contains(t, out, "draining")
+	require.Contains(t, out, "i-2")
+	require.NotContains(t, out, "i-3")
+	code, out, _ = spanctl("targets", admin, "127.0.0.1:1")
+	require.Equal(t, exitUnreachable, code)
+	require.Contains(t, out, "i-2", "one silent host does not hide the others")
+	code, _, _ = spanctl("targets")
+	require.Equal(t, exitUsage, code)
+}
--- a/operator/routes.go
+++ b/operator/routes.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"io"
-	"os"
 
+	"cranberryspan.dev/core/resolver"
 	"cranberryspan.dev/core/steerer"
-	"cranberryspan.dev/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -23,26 +22,38 @@
 		if err != nil {
 			return err
 		}
-		var versions []*steerer.Settings
-		for _, path := range paths {
-			settings, err := published(path)
-			if err != nil {
-				return err
-			}
-			versions = append(versions, settings)
+		file, err := readSource(paths[0])
+		if err != nil {
+			return err
+		}
+		settings, err := file.published()
+		if err != nil {
+			return err
+		}
+		if len(paths) == 1 {
+			return errors.CombineErrors(p.Routes(settings), faultsOf(settings))
 		}
-		if len(versions) == 2 {
-			return p.Differences(steerer.Compare(versions[0], versions[1]))
+		newer, err := readSource(paths[1])
+		if err != nil {
+			return err
+		}
+		differences, err := comparePublished(file, newer)
+		if err != nil {
+			return err
 		}
-		return p.Routes(versions[0])
+		return p.Differences(differences)
 	}
 }
 
-func published(path string) (*steerer.Settings, error) {
-	document, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "read published settings")
+// faultsOf is an error that names the routes that could not be read; nil if all
+// could.
+func faultsOf(settings *steerer.Settings) error {
+	var all error
+	for _, fault := range settings.Faults {
+		all = errors.CombineErrors(all, errors.Newf("%v", fault))
+	}
+	if all == nil {
+		return nil
 	}
-	settings, err := platform.DecodeSettings(document)
-	return settings, errors.Wrapf(err, "%s", path)
+	return &resolver.Error{Op: "read routes", Kind: resolver.KindInvalid, Err: all}
 }
