--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 FUMPT := mvdan.cc/gofumpt@v0.12.0
 
-.PHONY: help build demo up test red lint format check bench fuzz soak capacity compare throughput
+.PHONY: help build demo up test red redsoak lint format check bench fuzz soak capacity compare throughput
 
 help: ## list the tasks
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -35,6 +35,9 @@
 red: ## show that each proof fails without its mechanism
 	scripts/red.sh
 
+redsoak: ## show that the soak finds what is missing when a mechanism is
+	scripts/redsoak.sh
+
 bench: ## benchmarks of the hot paths
 	go test -run '^$$' -bench . -benchmem ./core/...
 
--- /dev/null
+++ b/scripts/redsoak.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Shows that the soak can fail: takes one mechanism at a time out of a copy of the
+# flow edge, and expects the soak to find a problem of the right kind with the seed
+# that is named. Takes about half a minute for each; docs/SOAK.md lists the pairs.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+passed=0
+failed=0
+make -C "$root" build >/dev/null
+
+# without WHAT FILE SEARCH REPLACE SEED FAULT PROBLEM: SEARCH is a literal line part
+# of a file of core/steerer, PROBLEM a part of what the soak has to say.
+without() {
+	local what=$1 file=$2 search=$3 replace=$4 seed=$5 fault=$6 problem=$7
+	local copy=$work/copy
+	rm -rf "$copy"
+	mkdir "$copy"
+	(cd "$root" && git ls-files -co --exclude-standard -- '*.go' '*.mod' '*.sum' go.work | tar -cf - -T -) | tar -xf - -C "$copy"
+	SEARCH=$search REPLACE=$replace perl -0pi -e 's/\Q$ENV{SEARCH}\E/$ENV{REPLACE}/' "$copy/core/steerer/$file"
+	if cmp -s "$root/core/steerer/$file" "$copy/core/steerer/$file"; then
+		echo "FAIL $what: '$search' is no longer in $file"
+		failed=$((failed + 1))
+		return
+	fi
+	(cd "$copy" && go build -o "$work/program" ./balancer)
+	"$root/bin/standin" soak --program "$work/program" --seed "$seed" --only "$fault" --duration 8s --zones 2,2 >"$work/report" 2>&1 || true
+	if grep -q "problem: .*$problem" "$work/report"; then
+		echo "ok   without $what, seed $seed finds: $(grep -m1 -o "$problem.*" "$work/report")"
+		passed=$((passed + 1))
+	else
+		echo "FAIL $what: seed $seed does not find it: $(head -3 "$work/report")"
+		failed=$((failed + 1))
+	fi
+	if grep -q '^  logs: ' "$work/report"; then
+		rm -rf "$(sed -n 's/^  logs: //p' "$work/report")"
+	fi
+}
+
+without "the target's tag" steering.go 'to, ok := s.targets.byTag[p.Tag]' 'to, ok := s.choose("ledger", key, nil), true' 31 reload 'ran [0-9]* times\|after the last fault\|another service\|of a flow'
+without "resets of what may run again only" health.go '!f.waiting || f.route.Kind != KindIdempotent' '!f.waiting' 32 crashTarget 'was reset though it may have run'
+without "flows away from draining targets" choosing.go 'return !t.Draining && !s.gone(t)' 'return !s.gone(t)' 33 replaceTarget 'drain'
+without "reads of later versions" reading.go 'if s.reading.settings.due(' 'if s.settings == nil && s.reading.settings.due(' 34 publish 'has not put version'
+
+echo "$passed passed, $failed failed"
+test "$failed" -eq 0
