Silence means nothing while packets wait on the host's own path

Cause: on hosts with links of 2 Mbit/s some uploads fill the link; packets wait in it for longer than callers wait before they repeat them, and longer than a check's handshake.

Ruled out: reads of the settings as the cause (with 5 idle routes in place of 240 still 68 resets); the processor (no processor time charged).

Change: a flow that opens late without a copy of its opening packet, or a link that is half full over 0.1 s, makes silence mean nothing for a while. The link's rate comes with the settings.

--- a/balancer/internal/configurer/flows.go
+++ b/balancer/internal/configurer/flows.go
@@ -27,7 +27,9 @@
 	Seeds           string   `yaml:"seeds"`
 	PeerKeys        []string `yaml:"peerKeys"`
 	MemoryMegabytes int64    `yaml:"memoryMegabytes"`
-	FirstStart      bool     `yaml:"firstStart"`
+	// LinkMegabits may be left out.
+	LinkMegabits float64 `yaml:"linkMegabits"`
+	FirstStart   bool    `yaml:"firstStart"`
 	// SettingsWithin and DrainingWithin are durations such as "3000ms".
 	SettingsWithin string `yaml:"settingsWithin"`
 	DrainingWithin string `yaml:"drainingWithin"`
@@ -58,6 +60,8 @@
 	// report: this suits only a network that admits hosts alone.
 	PeerKeys    []resolver.Secret
 	MemoryBytes int64
+	// LinkBytesPerSecond is what the host's link carries each way; 0 if unknown.
+	LinkBytesPerSecond int
 	// FirstStart says that the whole fleet starts for the first time.
 	FirstStart bool
 	// SettingsWithin and DrainingWithin are the times within which the host has to
@@ -86,6 +90,8 @@
 const forwardingEcho = "echo"
 
 const (
+	// bytesPerMegabit turns a link's rate, which networks give in decimal megabits.
+	bytesPerMegabit = 1_000_000 / 8
 	// minWithin leaves time for a read and a report to the other hosts.
 	minWithin = time.Second
 	// maxWithin keeps a slip of the pen from hiding changes for ever.
@@ -110,7 +116,7 @@
 }
 
 func (t flowText) check() (FlowConfig, error) {
-	config := FlowConfig{Name: t.Name, AvailabilityZone: t.AvailabilityZone, MemoryBytes: t.MemoryMegabytes << 20, FirstStart: t.FirstStart}
+	config := FlowConfig{Name: t.Name, AvailabilityZone: t.AvailabilityZone, MemoryBytes: t.MemoryMegabytes << 20, LinkBytesPerSecond: int(t.LinkMegabits * bytesPerMegabit), FirstStart: t.FirstStart}
 	switch {
 	case t.Name == "":
 		return FlowConfig{}, missing("name")
@@ -118,6 +124,8 @@
 		return FlowConfig{}, missing("availabilityZone")
 	case t.MemoryMegabytes <= 0:
 		return FlowConfig{}, invalid("memoryMegabytes: %d is no size; write the megabytes that the process may take", t.MemoryMegabytes)
+	case t.LinkMegabits < 0:
+		return FlowConfig{}, invalid("linkMegabits: %g is no rate; write the megabits a second that the host's link carries each way", t.LinkMegabits)
 	case t.Forwarding != forwardingEcho:
 		return FlowConfig{}, invalid("forwarding: %q is not known; only %q is", t.Forwarding, forwardingEcho)
 	}
--- a/balancer/internal/configurer/flows_test.go
+++ b/balancer/internal/configurer/flows_test.go
@@ -48,6 +48,7 @@
 		{"availabilityZone: a\n", "", "availabilityZone is missing"},
 		{"10.0.0.1:7001", "here", `packetAddress: "here" is no address and port`},
 		{"memoryMegabytes: 128", "memoryMegabytes: 0", "memoryMegabytes"},
+		{"memoryMegabytes: 128", "memoryMegabytes: 128\nlinkMegabits: -1", "linkMegabits"},
 		{"forwarding: echo", "forwarding: tunnel", `forwarding: "tunnel" is not known`},
 		{"settingsWithin: 3000ms", "settingsWithin: 3", `settingsWithin: "3" is no duration`},
 		{"10.0.0.2:7000", "b", `seeds: "b" is no address`},
--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -92,6 +92,8 @@
 		DrainingWithin:   config.DrainingWithin,
 		MaxFlows:         int(float64(config.MemoryBytes) * flowShare / flowBytes),
 		Start:            r.now(),
+
+		LinkBytesPerSecond: config.LinkBytesPerSecond,
 	})
 	var err error
 	if r.forwarder, err = forwarder.New(config.PacketAddress, platform.Codec, platform.MaxDatagramBytes, r.events); err != nil {
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"cranberryspan.dev/core/steerer"
@@ -60,6 +61,8 @@
 	answering int
 	// maxFlows bounds the flows that the host remembers; 0 is plenty.
 	maxFlows int
+	// linkBytesPerSecond is what the host's link carries; 0 is unknown.
+	linkBytesPerSecond int
 }
 
 // sent is a packet that a host passed on.
@@ -170,7 +173,7 @@
 	}
 	h.steerer = steerer.New(steerer.Config{
 		Self: name, Address: h.address, AvailabilityZone: name[:1], Seeds: seeds,
-		Incarnation: h.starts, Seed: h.starts, MaxFlows: h.maxFlows, Start: f.now,
+		Incarnation: h.starts, Seed: h.starts, MaxFlows: h.maxFlows, LinkBytesPerSecond: h.linkBytesPerSecond, Start: f.now,
 		SettingsWithin: 3 * time.Second, DrainingWithin: 3 * time.Second,
 	})
 	f.reduce(name, &steerer.Tick{})
@@ -377,6 +380,13 @@
 	c.sequence += 100
 }
 
+// send sends a part of a large request.
+func (c *caller) send(name string, bytes uint32) {
+	p := c.packet(steerer.FlagAck, bytes, strings.Repeat("x", int(bytes)))
+	c.f.reduce(name, &steerer.CallerPacket{Packet: p})
+	c.sequence += bytes
+}
+
 // repeat sends the last request again.
 func (c *caller) repeat(name string) {
 	p := c.packet(steerer.FlagAck, 100, "ask")
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -30,6 +30,8 @@
 	// opened says that a packet came that only an open flow sends. Until then the
 	// flow counts in its target's opening.
 	opened bool
+	// copied says that copies of the opening packet came.
+	copied bool
 	// openedAt is when the first opening packet went out.
 	openedAt timekeeper.Instant
 	// sentEnd is the end of the data that the caller has sent, acknowledged the
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -82,7 +82,7 @@
 
 // trusts reports whether silence means anything at present.
 func (s *Steerer) trusts() bool {
-	return s.pause.trustDeadline.Passed(s.now) && s.now.Since(s.pause.lastTick) <= pausedGap
+	return s.pause.trustDeadline.Passed(s.now) && !s.path.slow(s.now) && s.now.Since(s.pause.lastTick) <= pausedGap
 }
 
 // noteProgress takes in that a target works.
--- /dev/null
+++ b/core/steerer/path.go
@@ -0,0 +1,83 @@
+package steerer
+
+import (
+	"time"
+
+	"cranberryspan.dev/core/timekeeper"
+)
+
+const (
+	// slowOpening is how long a flow may take to open, from its opening packet to the
+	// caller's next one, on a path that can be trusted. Callers, hosts and targets
+	// are some milliseconds apart; a third of a check's patience leaves the check
+	// room.
+	slowOpening = 50 * time.Millisecond
+	// slowMemory is how long a slow opening counts: some openings come each second.
+	slowMemory = 2 * time.Second
+	// loadSpan is over what time the bytes on the host's link are added up, and
+	// loadShare the part of what the link can carry in it that makes the link full.
+	// Callers send windows of 16 packets, so a link that is half used over 0.1 s has
+	// others that wait.
+	loadSpan  = 100 * time.Millisecond
+	loadShare = 0.5
+	// loadMemory is how long a full link counts: longer than a caller's first repeat
+	// and the check that follows it.
+	loadMemory = 600 * time.Millisecond
+	// packetOverhead is what a packet takes on the link beside itself: the heads of
+	// IP, UDP and the frame.
+	packetOverhead = 46
+)
+
+// path is what a host knows of the way between itself and everybody else.
+//
+// What goes wrong without it: some uploads fill a small host's link, and packets wait
+// in it for longer than callers wait before they repeat them, and longer than a
+// liveness check takes. Every target looks silent, and the host resets flows whose
+// targets work. One notices by resets on hosts with small links only, of targets
+// which other hosts reach. So silence means nothing while the path is slow.
+type path struct {
+	// slowDeadline is until when silence means nothing.
+	slowDeadline timekeeper.Instant
+	// spanDeadline is when received and sent start from zero again.
+	spanDeadline timekeeper.Instant
+	received     int
+	sent         int
+}
+
+// slow reports whether packets may wait on the path.
+func (p *path) slow(now timekeeper.Instant) bool { return !p.slowDeadline.Passed(now) }
+
+// noteOpened learns from a flow's first packet after its opening packet. A copy of
+// that says that the first was lost, or its target silent, and nothing of the path.
+func (s *Steerer) noteOpened(f *flow) {
+	if took := s.now.Since(f.openedAt); !f.copied && took > slowOpening {
+		s.pathSlow("openingTook", took, slowMemory)
+	}
+}
+
+// noteBytes adds up what a packet puts on the host's link, which carries it in and
+// out again.
+func (s *Steerer) noteBytes(received, sent int) {
+	if s.config.LinkBytesPerSecond <= 0 {
+		return
+	}
+	p := &s.path
+	if p.spanDeadline.Passed(s.now) {
+		p.spanDeadline = s.now.Add(loadSpan)
+		p.received, p.sent = 0, 0
+	}
+	p.received += received
+	p.sent += sent
+	full := float64(s.config.LinkBytesPerSecond) * loadSpan.Seconds() * loadShare
+	if float64(max(p.received, p.sent)) > full {
+		s.pathSlow("linkFull", loadSpan, loadMemory)
+	}
+}
+
+// pathSlow distrusts silence for a while.
+func (s *Steerer) pathSlow(cause string, took, memory time.Duration) {
+	if !s.path.slow(s.now) {
+		s.log("pathSlow", field("cause", cause), field("millis", millis(took)))
+	}
+	s.path.slowDeadline = max(s.path.slowDeadline, s.now.Add(memory))
+}
--- /dev/null
+++ b/core/steerer/path_test.go
@@ -0,0 +1,87 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+const silentTarget = "i-10000001"
+
+// stall lets a flow's request be repeated once while its target's check gets no
+// answer.
+func stall(f *fleet, read *caller) {
+	f.outcomes[silentTarget] = steerer.ProbeSilent
+	read.ask("a1")
+	f.step(200 * time.Millisecond)
+	read.repeat("a1")
+	f.step(300 * time.Millisecond)
+}
+
+// Symptom: on hosts with small links flows are reset whose targets work, hundreds in
+// a minute. Sequence: packets wait in the host's link; a caller repeats its request;
+// the check of the target waits in the same link and is given up.
+// Cause: the host's own delay taken for the target's silence.
+func TestSlowPathBlamesNobody(t *testing.T) {
+	f := newFleet(t, 1)
+	read := openOn(f, "a1", silentTarget, 0, true)
+	f.step(3 * time.Second)
+	late := f.caller(900, readRoute)
+	late.open("a1", 0)
+	f.step(100 * time.Millisecond)
+	late.establish("a1")
+	stall(f, read)
+	require.Empty(t, f.hosts["a1"].resets)
+
+	f.step(4 * time.Second)
+	stall(f, read)
+	require.NotEmpty(t, f.hosts["a1"].resets, "the path is good again")
+}
+
+// Symptom: as above, but no flow has opened meanwhile that could tell. Sequence: some
+// uploads send a window each at the same moment. Cause: as above.
+func TestFullLinkBlamesNobody(t *testing.T) {
+	f := newFleet(t, 1)
+	f.hosts["a1"].linkBytesPerSecond = 250_000
+	f.kill("a1")
+	f.start("a1")
+	f.step(time.Second)
+	read := openOn(f, "a1", silentTarget, 0, true)
+	upload := f.caller(900, uploadRoute)
+	upload.open("a1", 0)
+	upload.establish("a1")
+	f.step(3 * time.Second)
+	f.outcomes[silentTarget] = steerer.ProbeSilent
+	read.ask("a1")
+	f.step(150 * time.Millisecond)
+	for range 16 {
+		upload.send("a1", 1200)
+	}
+	f.step(50 * time.Millisecond)
+	read.repeat("a1")
+	f.step(300 * time.Millisecond)
+	require.Empty(t, f.hosts["a1"].resets)
+
+	f.step(2 * time.Second)
+	stall(f, read)
+	require.NotEmpty(t, f.hosts["a1"].resets, "the link is free again")
+}
+
+// Symptom: callers of a silent target wait until their deadline, since their own
+// trouble is taken for a slow path. Sequence: the opening packet of one flow gets no
+// answer from the silent target; its copy, 200 ms later, opens the flow elsewhere.
+// Cause: the time from the first opening packet counted for the path.
+func TestCopiesOfOpeningPacketsDoNotMakeThePathSlow(t *testing.T) {
+	f := newFleet(t, 1)
+	read := openOn(f, "a1", silentTarget, 0, true)
+	f.step(3 * time.Second)
+	fresh := f.caller(900, readRoute)
+	fresh.open("a1", 0)
+	f.step(200 * time.Millisecond)
+	fresh.open("a1", 1)
+	fresh.establish("a1")
+	stall(f, read)
+	require.NotEmpty(t, f.hosts["a1"].resets)
+}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -48,7 +48,9 @@
 	DrainingWithin time.Duration
 	// MaxFlows bounds the flows that are remembered.
 	MaxFlows int
-	Start    timekeeper.Instant
+	// LinkBytesPerSecond is what the host's link carries each way; 0 if unknown.
+	LinkBytesPerSecond int
+	Start              timekeeper.Instant
 }
 
 // Steerer is the state of one host. It is not safe for concurrent use.
@@ -77,6 +79,7 @@
 	asking  asking
 	peers   peers
 	pause   pause
+	path    path
 	leaving leaving
 
 	effects   []Effect
@@ -156,6 +159,7 @@
 }
 
 func (s *Steerer) sendTarget(to *target, tag Tag, data []byte) {
+	s.noteBytes(0, len(data)+packetOverhead)
 	s.toTargets = append(s.toTargets, ToTarget{Address: to.Address, Number: to.Number, Tag: tag, Data: data})
 	s.emit(&s.toTargets[len(s.toTargets)-1])
 }
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -6,6 +6,7 @@
 
 func (s *Steerer) callerPacket(p *Packet) {
 	s.leaving.lastPacket = s.now
+	s.noteBytes(len(p.Data)+packetOverhead, 0)
 	if !s.knows() {
 		s.hold(p)
 		return
@@ -75,6 +76,7 @@
 // noteCopy moves a flow that has not opened to another target.
 func (s *Steerer) noteCopy(f *flow, to *target) {
 	s.noteStall(f.target, "openingCopy")
+	f.copied = true
 	f.lastPacket = s.now
 	if f.target != to {
 		s.move(f, to)
@@ -126,6 +128,7 @@
 		return
 	}
 	f.opened = true
+	s.noteOpened(f)
 	to.opening--
 	f.sentEnd = p.Sequence
 	f.acknowledged = p.Acknowledged
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -37,6 +37,13 @@
 	{"reload", true, reload},
 }
 
+// laterFaults come with Config.Later only.
+var laterFaults = []fault{
+	{"storeLoses", false, loseAnswers},
+	{"flapTarget", true, flapTarget},
+	{"killAll", false, killAll},
+}
+
 func (s *soak) host() *process { return s.fleet.hosts[s.pick(len(s.fleet.hosts))] }
 
 func (s *soak) span(most time.Duration) time.Duration {
@@ -233,3 +240,51 @@
 	}
 	return h.Name
 }
+
+// loseAnswers has the store take the calls of some hosts and answer none.
+func loseAnswers(ctx context.Context, s *soak) string {
+	span := s.span(4 * time.Second)
+	var names []string
+	for _, h := range s.fleet.hosts {
+		if s.pick(2) > 0 {
+			s.fleet.store.Treat(h.Name, platformtest.ModeLost)
+			names = append(names, h.Name)
+		}
+	}
+	wait(ctx, span)
+	for _, name := range names {
+		s.fleet.store.Treat(name, platformtest.ModeServing)
+	}
+	return fmt.Sprintf("%v for %s", names, span)
+}
+
+// flapTarget takes a target's entry out of the list and back by turns, while it
+// works on.
+func flapTarget(ctx context.Context, s *soak) string {
+	t := s.target()
+	turns := 1 + s.pick(3)
+	for range turns {
+		s.fleet.store.Remove(t.Entry().ID)
+		wait(ctx, s.span(2*time.Second))
+		s.fleet.store.Put(t.Entry())
+		wait(ctx, s.span(2*time.Second))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = append(s.targets, t)
+	return fmt.Sprintf("%s %d times", t.Entry().ID, turns)
+}
+
+// killAll kills every host at once; none is left to ask.
+func killAll(ctx context.Context, s *soak) string {
+	down := s.span(1500 * time.Millisecond)
+	for _, h := range s.fleet.hosts {
+		h.signal(syscall.SIGKILL)
+	}
+	wait(ctx, down)
+	for _, h := range s.fleet.hosts {
+		h.ended(time.Second)
+		s.start(h)
+	}
+	return down.String()
+}
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -53,6 +53,9 @@
 	Block int
 	// Only names the faults that may come; all if empty.
 	Only []string
+	// Later lets faults come that were added after the kept seeds: these would play
+	// other runs with them.
+	Later bool
 	// Gap is the mean pause between two faults.
 	Gap time.Duration
 	// NoFailures makes every attempt that is not answered a problem.
@@ -285,7 +288,11 @@
 	var running sync.WaitGroup
 	end := time.Now().Add(s.config.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
-		f := faults[s.pick(len(faults))]
+		kinds := faults
+		if s.config.Later {
+			kinds = slices.Concat(faults, laterFaults)
+		}
+		f := kinds[s.pick(len(kinds))]
 		if len(s.config.Only) > 0 && !slices.Contains(s.config.Only, f.name) {
 			continue
 		}
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -23,6 +23,7 @@
 			&cli.IntFlag{Name: "targets", Value: 9, Usage: "targets of the larger service"},
 			&cli.IntFlag{Name: "block", Value: 40, Usage: "second byte of all addresses; runs at the same time need different ones"},
 			&cli.StringSliceFlag{Name: "only", Usage: "faults that may come; all where none is given"},
+			&cli.BoolFlag{Name: "later", Value: true, Usage: "also the faults that were added after the kept seeds"},
 			&cli.DurationFlag{Name: "gap", Value: 700 * time.Millisecond, Usage: "mean pause between two faults"},
 		},
 	}
@@ -34,7 +35,7 @@
 		report, err := soaker.Run(ctx, soaker.Config{
 			Seed: command.Uint64("seed") + uint64(i), Duration: command.Duration("duration"), Program: command.String("program"),
 			Zones: command.IntSlice("zones"), Callers: command.Int("callers"), Targets: command.Int("targets"),
-			Block: command.Int("block"), Only: command.StringSlice("only"), Gap: command.Duration("gap"),
+			Later: command.Bool("later"), Block: command.Int("block"), Only: command.StringSlice("only"), Gap: command.Duration("gap"),
 		})
 		if err != nil {
 			return err
