Targets that answer more quickly than they can work get fewer new flows

Ruled out, by reading how callers behave: flows that end early (any flow of one request ends so), callers that open anew at once (they wait as they are told).

--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -32,6 +32,9 @@
 	Busy map[uint32]uint16 `cbor:"busy,omitempty"`
 	// Unreachable names, by tag, the targets that did not answer the sender.
 	Unreachable []uint32 `cbor:"unr,omitempty"`
+	// Quick names, by tag, the targets that answered the sender more quickly than
+	// they can work.
+	Quick []uint32 `cbor:"quick,omitempty"`
 	// Hosts names some hosts that the sender hears.
 	Hosts []HostHint `cbor:"hosts,omitempty"`
 }
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -66,6 +66,9 @@
 	if !t.warmUpDeadline.Passed(s.now) {
 		load = (load + 1/float64(max(t.Slots, 1))) * warmingLoad
 	}
+	if s.failsWork(t) {
+		load += quickLoad
+	}
 	if t.AvailabilityZone != s.config.AvailabilityZone {
 		load += otherZoneLoad
 	}
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -27,13 +27,15 @@
 	ReadsFailed
 	// ReportsSent counts reports to other hosts.
 	ReportsSent
+	// QuickAnswer counts answers that came more quickly than work can be done.
+	QuickAnswer
 	numCounts
 )
 
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer",
 	}[c]
 }
 
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -400,6 +400,11 @@
 	c.establish(name)
 }
 
+// finish closes the caller's end.
+func (c *caller) finish(name string) {
+	c.f.reduce(name, &steerer.CallerPacket{Packet: c.packet(steerer.FlagAck|steerer.FlagEnd, 0, "end")})
+}
+
 // last is the target that the last packet through a host reached.
 func (f *fleet) last(name string) string {
 	all := f.hosts[name].sent
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -43,6 +43,8 @@
 		return "no answer for " + ageText(s.now, t.health.silentSince) + " ms, last check " + t.health.outcome.String()
 	case t.health.suspect:
 		return "suspected, last sign of life " + ageText(s.now, t.health.lastProgress) + " ms ago"
+	case s.failsWork(t):
+		return "answers more quickly than it can work"
 	case !t.health.unwillingDeadline.Passed(s.now):
 		return "wants no work, says its liveness check"
 	case !t.warmUpDeadline.Passed(s.now):
--- /dev/null
+++ b/core/steerer/quickness_test.go
@@ -0,0 +1,114 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+// answerAfter opens a flow, asks, and acknowledges the answer after a while.
+func answerAfter(f *fleet, name string, n int, d time.Duration) *caller {
+	c := f.caller(n, checkRoute)
+	c.open(name, 0)
+	c.establish(name)
+	c.ask(name)
+	f.step(d)
+	c.thank(name)
+	c.finish(name)
+	return c
+}
+
+// usualWork lets a host learn that answers take 100 ms.
+func usualWork(f *fleet, name string) {
+	for n := range 30 {
+		answerAfter(f, name, 5000+n, 100*time.Millisecond)
+	}
+}
+
+// failAtOnce lets a target answer one request at once.
+func failAtOnce(f *fleet, name, target string, from int) {
+	for n := from; n < from+200; n++ {
+		c := f.caller(n, checkRoute)
+		c.open(name, 0)
+		c.establish(name)
+		if c.target == target {
+			c.ask(name)
+			f.step(2 * time.Millisecond)
+			c.thank(name)
+			c.finish(name)
+			return
+		}
+	}
+	f.t.Fatalf("no flow landed on %s", target)
+}
+
+// share counts the new flows of a host that land on a target, of ten for each.
+func share(f *fleet, name, target string, from int) int {
+	landed := 0
+	for n := range 60 {
+		c := f.caller(from+n, checkRoute)
+		c.open(name, 0)
+		if c.target == target {
+			landed++
+		}
+		c.establish(name)
+		c.finish(name)
+	}
+	return landed
+}
+
+const failing = "i-10000001"
+
+// Symptom: callers fail again and again at one target, whose liveness check is good.
+// Sequence: a target answers a part of its requests at once, with a failure; it has
+// less to do than its siblings. Cause: the least busy target gets the next flow,
+// whatever became of the last.
+func TestTargetThatFailsAtOnceGetsFewFlows(t *testing.T) {
+	f := newFleet(t, 1)
+	usualWork(f, "a1")
+	require.NotZero(t, share(f, "a1", failing, 1000))
+	failAtOnce(f, "a1", failing, 2000)
+	require.NotZero(t, share(f, "a1", failing, 3000), "one quick answer may be chance")
+	failAtOnce(f, "a1", failing, 4000)
+	require.Zero(t, share(f, "a1", failing, 6000))
+	for _, status := range f.hosts["a1"].steerer.TargetStatuses() {
+		if status.Target == failing {
+			require.Equal(t, "answers more quickly than it can work", status.Avoided)
+		}
+	}
+	f.step(4 * time.Second)
+	require.NotZero(t, share(f, "a1", failing, 7000), "it is given another chance")
+}
+
+// Symptom: in a large zone each host has to be failed twice before it avoids a target.
+// Sequence: two hosts see one quick answer each. Cause: hosts that keep it to
+// themselves.
+func TestQuickAnswersAreToldToTheZonesHosts(t *testing.T) {
+	f := newFleet(t, 3)
+	usualWork(f, "a1")
+	usualWork(f, "a2")
+	failAtOnce(f, "a1", failing, 2000)
+	failAtOnce(f, "a2", failing, 2500)
+	f.step(time.Second)
+	for _, name := range f.names {
+		require.Zero(t, share(f, name, failing, 3000), name)
+	}
+}
+
+// Symptom: a service is refused although its targets work. Sequence: all its answers
+// come quickly, for the work has changed. Cause: targets that are shut out on
+// suspicion.
+func TestServiceIsNotEmptiedByQuickAnswers(t *testing.T) {
+	f := newFleet(t, 1)
+	usualWork(f, "a1")
+	for n := range 20 {
+		answerAfter(f, "a1", 2000+n, 2*time.Millisecond)
+	}
+	c := f.caller(4000, checkRoute)
+	c.open("a1", 0)
+	require.NotEmpty(t, c.target)
+	require.Empty(t, f.hosts["a1"].resets)
+	require.NotZero(t, f.hosts["a1"].steerer.Snapshot().Counts[steerer.QuickAnswer])
+}
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -34,6 +34,7 @@
 	p.digest = r.TargetsDigest
 	s.takeBusy(p, r.Busy)
 	s.takeUnreachable(r.Unreachable)
+	s.takeQuick(p.name, r.Quick)
 	for _, hint := range r.Hosts {
 		if hint.Name != s.config.Self {
 			s.notePeer(hint.Name, hint.Address)
@@ -206,6 +207,7 @@
 	if to.zone == s.config.AvailabilityZone {
 		r.Busy = s.busy()
 		r.Unreachable = s.unreachable()
+		r.Quick = s.quickTargets()
 	}
 	return r
 }
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -80,6 +80,8 @@
 	peers   peers
 	pause   pause
 	path    path
+	// usual holds the usual time until an answer, by route.
+	usual   map[string]*usualTime
 	leaving leaving
 
 	effects   []Effect
@@ -97,6 +99,7 @@
 		targets: newTable(),
 		flows:   map[flowKey]*flow{},
 		peers:   newPeers(),
+		usual:   map[string]*usualTime{},
 	}
 	s.pause.lastTick = config.Start
 	if config.FirstStart && !slices.Contains(config.Seeds, config.Address) {
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -142,7 +142,9 @@
 		f.unconfirmed = 0
 		s.noteProgress(f.target)
 		if f.waiting {
-			s.emit(&Answered{Route: f.route, Latency: s.now.Since(f.waitingSince)})
+			took := s.now.Since(f.waitingSince)
+			s.emit(&Answered{Route: f.route, Latency: took})
+			s.noteAnswer(f, took)
 			s.setWaiting(f, false)
 		}
 	}
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -82,6 +82,7 @@
 	peersBusy int
 
 	health health
+	quick  quickness
 }
 
 // table holds the targets that this host knows.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -124,6 +124,12 @@
 without "packets kept until the first read" steerer/holding.go 'if len(s.held) == maxHeld {' 'if true {' TestPacketsThatComeBeforeTheFirstReadAreKept
 without "one of a kept packet's repeats" steerer/holding.go 'if s.held[i].packet.sameWork(p) {' 'if false {' TestRepeatsOfAKeptPacketAreNotKept
 without "a bound on how long packets are kept" steerer/holding.go 'if late {' 'if false {' TestPacketsAreNotKeptForLong
+without "distrust of a slow path" steerer/health.go '!s.path.slow(s.now) && ' '' TestSlowPathBlamesNobody
+without "distrust of a full link" steerer/health.go '!s.path.slow(s.now) && ' '' TestFullLinkBlamesNobody
+without "copies that tell nothing of the path" steerer/path.go '!f.copied && ' '' TestCopiesOfOpeningPacketsDoNotMakeThePathSlow
+without "routes that stay as they were" steerer/reading.go 'settings = settings.keeping(s.settings)' '' TestRouteThatCannotBeReadStaysAsItWas
+without "the notice of quick answers" steerer/choosing.go 'if s.failsWork(t) {' 'if false {' TestTargetThatFailsAtOnceGetsFewFlows
+without "word of quick answers" steerer/reports.go 's.takeQuick(p.name, r.Quick)' '' TestQuickAnswersAreToldToTheZonesHosts
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
