Hosts with large links read for the fleet

Cause: the reader was chosen by its name alone. A read of settings and targets of a grown deployment brings some 130 KB, which takes a link of 10 Mbit/s for 0.1 s, and one of 2 for half a second, while the flows of that host wait. Reports carry the link's rate, and the largest come first in the order of readers.

--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -13,6 +13,8 @@
 	Address          netip.AddrPort `cbor:"addr"`
 	AvailabilityZone string         `cbor:"zone"`
 	Incarnation      uint64         `cbor:"inc"`
+	// LinkBytesPerSecond is what the sender's link carries each way; 0 if unknown.
+	LinkBytesPerSecond int `cbor:"link,omitempty"`
 	// Leaving says that this is among the sender's last reports.
 	Leaving bool `cbor:"leave,omitempty"`
 	// Version is of the settings in force at the sender; SettingsAge is how long
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -63,6 +63,8 @@
 	maxFlows int
 	// linkBytesPerSecond is what the host's link carries; 0 is unknown.
 	linkBytesPerSecond int
+	// reads counts the host's reads of the platform.
+	reads int
 }
 
 // sent is a packet that a host passed on.
@@ -259,6 +261,7 @@
 
 func (f *fleet) readSettings(name string) {
 	f.reads++
+	f.hosts[name].reads++
 	event := &steerer.SettingsRead{Started: f.now, Err: errDown}
 	if f.answers(name) {
 		event.Settings, event.Document, event.Err = f.settings, []byte{byte(f.settings.Version)}, nil
@@ -268,6 +271,7 @@
 
 func (f *fleet) readTargets(name string) {
 	f.reads++
+	f.hosts[name].reads++
 	event := &steerer.TargetsRead{Started: f.now, Err: errDown}
 	if f.answers(name) {
 		event.Err, event.List.Revision = nil, f.revision
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -54,9 +54,11 @@
 
 // peer is what a host knows of another.
 type peer struct {
-	name        string
-	address     netip.AddrPort
-	zone        string
+	name    string
+	address netip.AddrPort
+	zone    string
+	// link is what the host's link carries, in bytes a second; 0 if unknown.
+	link        int
 	incarnation uint64
 	leaving     bool
 	// heard is when its last report came; 0 if it is known by name only.
@@ -120,7 +122,9 @@
 	return p.heard != 0 && !p.leaving && now.Since(p.heard) < peerSilence
 }
 
-// rank is the place of this host among those that live as far as it knows.
+// rank is the place of this host among those that live as far as it knows: those with
+// the larger links first, which a read of everything holds up for the shortest time,
+// and hosts with equal or unknown ones by their names.
 func (s *Steerer) rank() int {
 	rank := 0
 	own := xxhash.Sum64String(s.config.Self)
@@ -130,7 +134,14 @@
 		silence = max(silence, time.Second*mentionsMissed*time.Duration(len(all))/mentionsASecond)
 	}
 	for _, p := range all {
-		if p.lives != 0 && !p.leaving && s.now.Since(p.lives) < silence && xxhash.Sum64String(p.name) < own {
+		if p.lives == 0 || p.leaving || s.now.Since(p.lives) >= silence {
+			continue
+		}
+		first := xxhash.Sum64String(p.name) < own
+		if p.link != 0 && p.link != s.config.LinkBytesPerSecond {
+			first = p.link > s.config.LinkBytesPerSecond
+		}
+		if first {
 			rank++
 		}
 	}
--- a/core/steerer/reading_test.go
+++ b/core/steerer/reading_test.go
@@ -79,6 +79,39 @@
 	require.LessOrEqual(t, reads[30], 4*reads[3])
 }
 
+// Symptom: flows through one small host are late about every second. Sequence: hosts
+// with links of 2 and of 200 Mbit/s form a fleet; one of the small ones reads settings
+// and targets for all, which takes its link for a third of a second each time.
+// Cause: a reader that is chosen by its name alone.
+func TestHostsWithLargeLinksRead(t *testing.T) {
+	f := newFleet(t, 3, 3, 3)
+	for _, name := range f.names {
+		f.hosts[name].linkBytesPerSecond = 250_000
+		if name == "a2" || name == "c3" {
+			f.hosts[name].linkBytesPerSecond = 25_000_000
+		}
+		f.kill(name)
+		f.start(name)
+	}
+	f.step(5 * time.Second)
+	for _, h := range f.hosts {
+		h.reads = 0
+	}
+	f.step(10 * time.Second)
+	for name, h := range f.hosts {
+		if name != "a2" && name != "c3" {
+			require.Zero(t, h.reads, name)
+		}
+	}
+	f.kill("a2")
+	f.kill("c3")
+	f.settings = settingsOf(2, routes()[:2])
+	f.step(3 * time.Second)
+	c := f.caller(1, uploadRoute)
+	c.open("b1", 0)
+	require.Empty(t, c.target, "the small hosts read when the large ones are gone")
+}
+
 // Symptom: a cut-off zone goes on with old settings though it reaches the
 // platform. Sequence: the zone with the reader is cut off; a version comes.
 // Cause: hosts that wait for a reader that they no longer hear.
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -26,6 +26,7 @@
 	}
 	p.address = r.Address
 	p.zone = r.AvailabilityZone
+	p.link = r.LinkBytesPerSecond
 	p.incarnation = r.Incarnation
 	p.leaving = r.Leaving
 	p.heard = s.now
@@ -186,16 +187,17 @@
 // report writes this host's report to another.
 func (s *Steerer) report(to *peer) *messenger.Report {
 	r := &messenger.Report{
-		Address:          s.config.Address,
-		AvailabilityZone: s.config.AvailabilityZone,
-		Incarnation:      s.config.Incarnation,
-		Leaving:          s.leaving.begun,
-		SettingsAge:      age(s.now, s.reading.settings.confirmed),
-		TargetsRevision:  s.targetsRevision,
-		TargetsAge:       age(s.now, s.reading.targets.confirmed),
-		TargetsDigest:    s.targets.digest(),
-		Hosts:            s.hints(to),
-		Version:          s.version(),
+		Address:            s.config.Address,
+		AvailabilityZone:   s.config.AvailabilityZone,
+		Incarnation:        s.config.Incarnation,
+		LinkBytesPerSecond: s.config.LinkBytesPerSecond,
+		Leaving:            s.leaving.begun,
+		SettingsAge:        age(s.now, s.reading.settings.confirmed),
+		TargetsRevision:    s.targetsRevision,
+		TargetsAge:         age(s.now, s.reading.targets.confirmed),
+		TargetsDigest:      s.targets.digest(),
+		Hosts:              s.hints(to),
+		Version:            s.version(),
 	}
 	// Any of the changes, not the latest: those of one moment are told by turns.
 	changes := s.peers.changes
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -130,6 +130,7 @@
 without "routes that stay as they were" steerer/reading.go 'settings = settings.keeping(s.settings)' '' TestRouteThatCannotBeReadStaysAsItWas
 without "the notice of quick answers" steerer/choosing.go 'if s.failsWork(t) {' 'if false {' TestTargetThatFailsAtOnceGetsFewFlows
 without "word of quick answers" steerer/reports.go 's.takeQuick(p.name, r.Quick)' '' TestQuickAnswersAreToldToTheZonesHosts
+without "large links before small ones" steerer/peers.go 'first = p.link > s.config.LinkBytesPerSecond' '' TestHostsWithLargeLinksRead
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
