--- a/core/steerer/quickness.go
+++ b/core/steerer/quickness.go
@@ -13,9 +13,11 @@
 	quickShare = 0.25
 	// usualSamples is how many answers of a route are needed to know what is usual.
 	usualSamples = 20
-	// usualStep is how far each answer moves what is taken for usual, which comes to
-	// rest at the median.
-	usualStep = 1.05
+	// usualStep is how far each answer moves what is taken for usual, as a part of it,
+	// once many have come; the first ones move it further. It comes to rest at the
+	// median. A crowd of a second or two, with a hundred late answers, must not make
+	// the ordinary ones after it look quick.
+	usualStep = 0.003
 	// quickMemory is how long a quick answer counts. Chance brings two in that time,
 	// at all hosts of a zone together, to one target in a hundred.
 	quickMemory = 3 * time.Second
@@ -37,13 +39,14 @@
 // add takes in an answer.
 func (u *usualTime) add(took time.Duration) {
 	u.samples++
+	step := 1 + max(usualStep, 1/float64(u.samples))
 	switch {
 	case u.samples == 1:
 		u.median = took
 	case took > u.median:
-		u.median = time.Duration(float64(u.median) * usualStep)
+		u.median = time.Duration(float64(u.median) * step)
 	default:
-		u.median = time.Duration(float64(u.median) / usualStep)
+		u.median = time.Duration(float64(u.median) / step)
 	}
 }
 
--- a/core/steerer/quickness_test.go
+++ b/core/steerer/quickness_test.go
@@ -82,6 +82,23 @@
 	require.NotZero(t, share(f, "a1", failing, 7000), "it is given another chance")
 }
 
+// Symptom: after a crowd targets that work are avoided. Sequence: for two seconds all
+// answers take ten times as long; then they come as before. Cause: what is usual
+// follows a crowd.
+func TestCrowdDoesNotMakeOrdinaryAnswersQuick(t *testing.T) {
+	f := newFleet(t, 1)
+	for n := range 300 {
+		answerAfter(f, "a1", 5000+n, 100*time.Millisecond)
+	}
+	for n := range 100 {
+		answerAfter(f, "a1", 6000+n, time.Second)
+	}
+	for n := range 30 {
+		answerAfter(f, "a1", 7000+n, 60*time.Millisecond)
+	}
+	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Counts[steerer.QuickAnswer])
+}
+
 // Symptom: in a large zone each host has to be failed twice before it avoids a target.
 // Sequence: two hosts see one quick answer each. Cause: hosts that keep it to
 // themselves.
