A host that starts learns of targets that are gone

Ruled out: a reset for any unknown target (this host may be late, and the target live); keeping such packets (nobody will ever know where they go). The target is checked like any other first, and only what may run again is reset.

--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -73,6 +73,9 @@
 	// revision Since, up to which the sender knows all.
 	Targets bool   `cbor:"tgt,omitempty"`
 	Since   uint64 `cbor:"since,omitempty"`
+	// Gone asks for the targets that are no longer listed and that open flows may
+	// still name.
+	Gone bool `cbor:"gone,omitempty"`
 }
 
 // Knowledge answers a KnowledgeRequest.
@@ -90,4 +93,8 @@
 	// much the same.
 	Targets []TargetState `cbor:"-"`
 	Packed  []byte        `cbor:"tgt,omitempty"`
+	// Gone are the targets that were asked for as such; GoneTold says that these are
+	// all, also if there is none.
+	Gone     []TargetState `cbor:"gone,omitempty"`
+	GoneTold bool          `cbor:"goneTold,omitempty"`
 }
--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -26,6 +26,8 @@
 	// differsSince is since when the targets known here differ from those of every
 	// host heard; 0 while they agree with one.
 	differsSince timekeeper.Instant
+	// goneLearned says that another host has told which targets are gone.
+	goneLearned bool
 }
 
 // noteBehind remembers that another host has newer settings.
@@ -44,6 +46,9 @@
 // host of the fleet calls the platform at once.
 func (s *Steerer) askingTick() {
 	p := s.informant()
+	if p == nil {
+		p = s.goneInformant()
+	}
 	if p == nil || !s.asking.deadline.Passed(s.now) {
 		return
 	}
@@ -51,7 +56,7 @@
 		s.reading.settings.urgent = true
 	}
 	s.asking.deadline = s.now.Add(askEvery)
-	request := &messenger.KnowledgeRequest{Above: s.version(), Targets: s.lacksTargets(), Since: s.targetsRevision}
+	request := &messenger.KnowledgeRequest{Above: s.version(), Targets: s.lacksTargets(), Since: s.targetsRevision, Gone: s.wantsGone()}
 	s.log("hostAsked", field("peer", p.name), field("version", utoa(s.version())), field("peerVersion", utoa(p.version)),
 		field("targets", btoa(request.Targets)), field("revision", utoa(s.targetsRevision)), field("peerRevision", utoa(p.revision)))
 	s.emit(&AskHost{Host: p.name, Address: p.address, Request: request})
@@ -135,6 +140,9 @@
 		return
 	}
 	k := e.Knowledge
+	if k.GoneTold {
+		s.takeGone(k.Gone, e.From)
+	}
 	if e.Settings != nil {
 		s.adopt(e.Settings, e.Document, e.From)
 	}
@@ -167,6 +175,10 @@
 	if k.Version > request.Above {
 		k.Document = s.document
 	}
+	if request.Gone {
+		k.Gone = s.goneStates()
+		k.GoneTold = true
+	}
 	if !request.Targets {
 		return k
 	}
--- /dev/null
+++ b/core/steerer/gone.go
@@ -0,0 +1,77 @@
+package steerer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cranberryspan.dev/core/messenger"
+)
+
+const (
+	// goneSpan is how long after its start a host asks for targets that are gone. By
+	// then it has heard those that ran before it.
+	goneSpan = 10 * time.Second
+	// maxGone bounds the targets in an answer, to some 50 KB. Those that vanished
+	// last are the likeliest to be named by open flows.
+	maxGone = 500
+)
+
+// wantsGone reports whether this host still has to learn of targets that are gone.
+//
+// What goes wrong otherwise: a target crashes and vanishes from the list; a host
+// starts after that and gets the packets of flows at that target. It has never heard
+// of it, so it neither checks it nor tells the callers that wait for it. One notices by
+// flows that get no answer to any request, with a line for each dropped packet on
+// one host only.
+func (s *Steerer) wantsGone() bool {
+	return !s.asking.goneLearned && s.knows() && !s.config.Start.Add(goneSpan).Passed(s.now)
+}
+
+// goneInformant picks one of the hosts that ran before this one; nil if there is none.
+func (s *Steerer) goneInformant() *peer {
+	if !s.wantsGone() {
+		return nil
+	}
+	var older []*peer
+	for _, p := range s.peers.ordered() {
+		if p.hears(s.now) && p.revision != 0 && p.incarnation < s.config.Incarnation {
+			older = append(older, p)
+		}
+	}
+	if len(older) == 0 {
+		return nil
+	}
+	return older[s.random.IntN(len(older))]
+}
+
+// goneStates lists the targets that are gone, those that vanished last first.
+func (s *Steerer) goneStates() []messenger.TargetState {
+	var gone []*target
+	for _, t := range s.targets.ordered() {
+		if t.missing {
+			gone = append(gone, t)
+		}
+	}
+	slices.SortStableFunc(gone, func(x, y *target) int { return cmp.Compare(y.missingSince, x.missingSince) })
+	var states []messenger.TargetState
+	for _, t := range gone[:min(len(gone), maxGone)] {
+		states = append(states, t.state(s.now))
+	}
+	return states
+}
+
+// takeGone takes in the targets that were gone before this host started.
+func (s *Steerer) takeGone(states []messenger.TargetState, from string) {
+	s.asking.goneLearned = true
+	for _, state := range states {
+		number, valid := NumberOf(state.ID)
+		if _, known := s.targets.byID[state.ID]; known || !valid {
+			continue
+		}
+		t, _ := s.targets.put(recordOf(state, number), state.Seen)
+		t.missing = true
+		t.missingSince = s.now
+	}
+	s.log("goneTargetsKnown", field("targets", itoa(len(states))), field("from", from))
+}
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -117,10 +117,15 @@
 	if !valid {
 		return
 	}
-	s.takeRecord(Target{
+	s.takeRecord(recordOf(state, number), state.Seen, from)
+}
+
+// recordOf reads a target from a report.
+func recordOf(state messenger.TargetState, number Number) Target {
+	return Target{
 		ID: state.ID, Number: number, Service: state.Service, Address: state.Address,
 		AvailabilityZone: state.AvailabilityZone, Slots: state.Slots, Draining: state.Draining, WarmUp: state.WarmUp,
-	}, state.Seen, from)
+	}
 }
 
 // reportRound tells some hosts of a larger fleet, each as often as the others:
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -131,6 +131,7 @@
 without "the notice of quick answers" steerer/choosing.go 'if s.failsWork(t) {' 'if false {' TestTargetThatFailsAtOnceGetsFewFlows
 without "word of quick answers" steerer/reports.go 's.takeQuick(p.name, r.Quick)' '' TestQuickAnswersAreToldToTheZonesHosts
 without "large links before small ones" steerer/peers.go 'first = p.link > s.config.LinkBytesPerSecond' '' TestHostsWithLargeLinksRead
+without "questions for targets that are gone" steerer/asking.go 'p = s.goneInformant()' 'p = nil' TestHostThatStartsLearnsOfTargetsThatAreGone
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
