--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -57,9 +57,10 @@
 	}
 }
 
-// logTarget logs what is concluded of a target, with what its health rests on.
+// logTarget logs what is concluded of a target, with what its health rests on. The tag
+// leads from a packet that another host dropped to the target.
 func (s *Steerer) logTarget(event string, t *target, inputs ...Field) {
-	fields := append([]Field{field("target", t.ID)}, inputs...)
+	fields := append([]Field{field("target", t.ID), field("tag", t.tag.String())}, inputs...)
 	s.log(event, append(fields, t.health.fields(s.now)...)...)
 }
 
