Only a link with a long queue makes silence mean nothing

But a flow has at most a window of packets under way, which such a link carries in 15 ms. Now the flows that send much at the same time count, too: their windows together must take more than 50 ms.

--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -44,7 +44,9 @@
 	// unconfirmed counts the bytes since the target last showed life.
 	unconfirmed uint32
 	lastPacket  timekeeper.Instant
-	closed      bool
+	// bulkSpan is the last of the path's spans in which the flow sent much.
+	bulkSpan timekeeper.Instant
+	closed   bool
 }
 
 // openingCheck asks at its deadline whether a flow has opened.
--- a/core/steerer/path.go
+++ b/core/steerer/path.go
@@ -15,11 +15,14 @@
 	// slowMemory is how long a slow opening counts: some openings come each second.
 	slowMemory = 2 * time.Second
 	// loadSpan is over what time the bytes on the host's link are added up, and
-	// loadShare the part of what the link can carry in it that makes the link full.
-	// Callers send windows of 16 packets, so a link that is half used over 0.1 s has
-	// others that wait.
+	// loadShare the part of what the link can carry in it that makes the link busy.
 	loadSpan  = 100 * time.Millisecond
 	loadShare = 0.5
+	// longQueue is how long packets wait at most in a link that does not harm: as long
+	// as a slow opening. A queue holds at most a window of each flow that sends much.
+	longQueue = slowOpening
+	// bulkBytes tells packets of large requests, which come in full packets.
+	bulkBytes = 1000
 	// loadMemory is how long a full link counts: longer than a caller's first repeat
 	// and the check that follows it.
 	loadMemory = 600 * time.Millisecond
@@ -42,6 +45,8 @@
 	spanDeadline timekeeper.Instant
 	received     int
 	sent         int
+	// senders counts the flows that have sent much since then.
+	senders int
 }
 
 // slow reports whether packets may wait on the path.
@@ -64,13 +69,22 @@
 	p := &s.path
 	if p.spanDeadline.Passed(s.now) {
 		p.spanDeadline = s.now.Add(loadSpan)
-		p.received, p.sent = 0, 0
+		p.received, p.sent, p.senders = 0, 0, 0
 	}
 	p.received += received
 	p.sent += sent
-	full := float64(s.config.LinkBytesPerSecond) * loadSpan.Seconds() * loadShare
-	if float64(max(p.received, p.sent)) > full {
-		s.pathSlow("linkFull", loadSpan, loadMemory)
+	rate := float64(s.config.LinkBytesPerSecond)
+	queue := time.Duration(float64(p.senders*windowBytes) / rate * float64(time.Second))
+	if float64(max(p.received, p.sent)) > rate*loadSpan.Seconds()*loadShare && queue > longQueue {
+		s.pathSlow("linkFull", queue, loadMemory)
+	}
+}
+
+// noteBulk counts the flows that send much at the same time.
+func (s *Steerer) noteBulk(f *flow, p *Packet) {
+	if p.Length >= bulkBytes && f.bulkSpan != s.path.spanDeadline {
+		f.bulkSpan = s.path.spanDeadline
+		s.path.senders++
 	}
 }
 
--- a/core/steerer/path_test.go
+++ b/core/steerer/path_test.go
@@ -69,6 +69,34 @@
 	require.NotEmpty(t, f.hosts["a1"].resets, "the link is free again")
 }
 
+// Symptom: callers of a silent target wait until their deadline on hosts that carry an
+// upload now and then. Sequence: one upload fills the host's link for a tenth of a
+// second; a target falls silent meanwhile. Cause: a busy link taken for one in which
+// packets wait: one flow has at most a window of packets under way, which a link of
+// 10 Mbit/s carries in 15 ms.
+func TestOneUploadDoesNotMakeAFastLinkSlow(t *testing.T) {
+	f := newFleet(t, 1)
+	f.hosts["a1"].linkBytesPerSecond = 1_250_000
+	f.kill("a1")
+	f.start("a1")
+	f.step(time.Second)
+	read := openOn(f, "a1", silentTarget, 0, true)
+	upload := f.caller(900, uploadRoute)
+	upload.open("a1", 0)
+	upload.establish("a1")
+	f.step(3 * time.Second)
+	f.outcomes[silentTarget] = steerer.ProbeSilent
+	read.ask("a1")
+	f.step(150 * time.Millisecond)
+	for range 100 {
+		upload.send("a1", 1200)
+	}
+	f.step(50 * time.Millisecond)
+	read.repeat("a1")
+	f.step(300 * time.Millisecond)
+	require.NotEmpty(t, f.hosts["a1"].resets)
+}
+
 // Symptom: callers of a silent target wait until their deadline, since their own
 // trouble is taken for a slow path. Sequence: the opening packet of one flow gets no
 // answer from the silent target; its copy, 200 ms later, opens the flow elsewhere.
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -105,6 +105,7 @@
 			return
 		}
 	}
+	s.noteBulk(f, p)
 	s.follow(f, to, p)
 	s.observe(f, p)
 	if to.health.unreachable() && f.route.Kind == KindIdempotent && p.Length > 0 {
