--- a/core/steerer/explaining.go
+++ b/core/steerer/explaining.go
@@ -21,7 +21,11 @@
 func (s *Settings) Check() []Finding {
 	var findings []Finding
 	for _, fault := range s.Faults {
-		findings = append(findings, Finding{fault.Route, fault.Err.Error(), "the route stays as the version before had it, if it had one"})
+		effect := "the route stays as the version before had it, if it had one"
+		if _, read := s.named(fault.Route); read {
+			effect = "the rest of the route is in force"
+		}
+		findings = append(findings, Finding{fault.Route, fault.Err.Error(), effect})
 	}
 	addresses := map[netip.AddrPort]string{}
 	for _, route := range s.Routes {
--- a/core/steerer/path_test.go
+++ b/core/steerer/path_test.go
@@ -40,11 +40,12 @@
 	require.NotEmpty(t, f.hosts["a1"].resets, "the path is good again")
 }
 
-// Symptom: as above, but no flow has opened meanwhile that could tell. Sequence: some
-// uploads send a window each at the same moment. Cause: as above.
-func TestFullLinkBlamesNobody(t *testing.T) {
+// uploadDuringStall starts a host with a link of some bytes a second, and lets an upload
+// send some packets while a read stalls at a target that does not answer its check.
+func uploadDuringStall(t *testing.T, linkBytesPerSecond, packets int) (*fleet, *caller) {
+	t.Helper()
 	f := newFleet(t, 1)
-	f.hosts["a1"].linkBytesPerSecond = 250_000
+	f.hosts["a1"].linkBytesPerSecond = linkBytesPerSecond
 	f.kill("a1")
 	f.start("a1")
 	f.step(time.Second)
@@ -56,12 +57,19 @@
 	f.outcomes[silentTarget] = steerer.ProbeSilent
 	read.ask("a1")
 	f.step(150 * time.Millisecond)
-	for range 16 {
+	for range packets {
 		upload.send("a1", 1200)
 	}
 	f.step(50 * time.Millisecond)
 	read.repeat("a1")
 	f.step(300 * time.Millisecond)
+	return f, read
+}
+
+// Symptom: as above, but no flow has opened meanwhile that could tell. Sequence: an
+// upload sends a window of packets into a link of 2 Mbit/s. Cause: as above.
+func TestFullLinkBlamesNobody(t *testing.T) {
+	f, read := uploadDuringStall(t, 250_000, 16)
 	require.Empty(t, f.hosts["a1"].resets)
 
 	f.step(2 * time.Second)
@@ -75,25 +83,7 @@
 // packets wait: one flow has at most a window of packets under way, which a link of
 // 10 Mbit/s carries in 15 ms.
 func TestOneUploadDoesNotMakeAFastLinkSlow(t *testing.T) {
-	f := newFleet(t, 1)
-	f.hosts["a1"].linkBytesPerSecond = 1_250_000
-	f.kill("a1")
-	f.start("a1")
-	f.step(time.Second)
-	read := openOn(f, "a1", silentTarget, 0, true)
-	upload := f.caller(900, uploadRoute)
-	upload.open("a1", 0)
-	upload.establish("a1")
-	f.step(3 * time.Second)
-	f.outcomes[silentTarget] = steerer.ProbeSilent
-	read.ask("a1")
-	f.step(150 * time.Millisecond)
-	for range 100 {
-		upload.send("a1", 1200)
-	}
-	f.step(50 * time.Millisecond)
-	read.repeat("a1")
-	f.step(300 * time.Millisecond)
+	f, _ := uploadDuringStall(t, 1_250_000, 100)
 	require.NotEmpty(t, f.hosts["a1"].resets)
 }
 
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"maps"
 	"time"
 
 	"cranberryspan.dev/core/timekeeper"
@@ -171,6 +172,10 @@
 	for _, route := range settings.Routes {
 		delete(s.removed, route.Address)
 	}
+	maps.DeleteFunc(s.usual, func(name string, _ *usualTime) bool {
+		_, listed := settings.named(name)
+		return !listed
+	})
 	s.settings = settings
 	s.document = document
 	s.asking.behindSince = 0
--- a/operator/main_test.go
+++ b/operator/main_test.go
@@ -49,16 +49,35 @@
 	return code, stdout.String(), stderr.String()
 }
 
+// commandTest is a command line, its exit code, and what its output contains.
+type commandTest struct {
+	name     string
+	args     []string
+	code     int
+	contains []string
+}
+
+func runCommands(t *testing.T, tests []commandTest) {
+	t.Helper()
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			code, out, problems := spanctl(test.args...)
+			require.Equal(t, test.code, code, problems)
+			for _, part := range test.contains {
+				require.Contains(t, out, part)
+			}
+			if code != exitOK {
+				require.NotEmpty(t, problems)
+			}
+		})
+	}
+}
+
 func TestCommands(t *testing.T) {
 	valid := write(t, "tree.yaml", tree)
 	drained := write(t, "drained.yaml", tree[:len(tree)-1-len("weight: 50}")]+"state: draining}\n")
 	broken := write(t, "broken.yaml", tree+"          ledger-02: {availabilityZone: nowhere, address: 10.2.0.1:5683, slots: 0, colour: red}\n")
-	tests := []struct {
-		name     string
-		args     []string
-		code     int
-		contains []string
-	}{
+	tests := []commandTest{
 		{"check valid", []string{"check", valid}, exitOK, []string{"valid: 1 hosts, 1 services, 1 targets"}},
 		{"check reports all", []string{"check", broken}, exitInvalid, []string{"nowhere", "stands at", `"0" does not fit`, "colour: unknown key", "broken.yaml:21"}},
 		{"check as JSON", []string{"--output", "json", "check", broken}, exitInvalid, []string{`"problem": "unknown key"`, `"line": 21`}},
@@ -74,18 +93,7 @@
 		{"missing file", []string{"check", "/does/not/exist"}, exitUsage, nil},
 		{"missing argument", []string{"explain", valid}, exitUsage, nil},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			code, out, problems := spanctl(test.args...)
-			require.Equal(t, test.code, code, problems)
-			for _, part := range test.contains {
-				require.Contains(t, out, part)
-			}
-			if code != exitOK {
-				require.NotEmpty(t, problems)
-			}
-		})
-	}
+	runCommands(t, tests)
 }
 
 func TestShellCompletionIsOffered(t *testing.T) {
@@ -137,14 +145,9 @@
 {"name":"r-b","host":"198.18.0.1","prefix":"/443/","type":"upload","timeout_ms":2500,"service":"nobody"},
 {"name":"r-c","host":"here"}]}`)
 	tree := write(t, "tree.yaml", tree)
-	tests := []struct {
-		name     string
-		args     []string
-		code     int
-		contains []string
-	}{
+	tests := []commandTest{
 		{"check valid", []string{"check", before}, exitOK, []string{"valid: version 7, 2 routes"}},
-		{"check reports all", []string{"check", odd}, exitInvalid, []string{`unknown type "later"`, "198.18.0.1:443 is the address of r-a, too", "service nobody is not listed", "r-c"}},
+		{"check reports all", []string{"check", odd}, exitInvalid, []string{`unknown type "later"`, "the rest of the route is in force", "as the version before had it", "198.18.0.1:443 is the address of r-a, too", "service nobody is not listed", "r-c"}},
 		{"check no JSON", []string{"check", write(t, "broken.json", `{"version":`)}, exitInvalid, nil},
 		{"explain a route", []string{"explain", before, "r-a"}, exitOK, []string{"2.5s", "routes.r-a", "idempotent", "built in"}},
 		{"explain an address", []string{"explain", before, "198.18.0.2:8443"}, exitOK, []string{"upload"}},
@@ -154,18 +157,7 @@
 		{"diff of the same", []string{"diff", before, before}, exitOK, []string{"no change"}},
 		{"diff of two sorts", []string{"diff", tree, after}, exitUsage, nil},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			code, out, problems := spanctl(test.args...)
-			require.Equal(t, test.code, code, problems)
-			for _, part := range test.contains {
-				require.Contains(t, out, part)
-			}
-			if code != exitOK {
-				require.NotEmpty(t, problems)
-			}
-		})
-	}
+	runCommands(t, tests)
 }
 
 func TestTargetsOfAHost(t *testing.T) {
