A path is slow if flows open more slowly than they usually do there

Cause, found by reading: where callers are 30 ms away every flow takes more than 50 ms to open, so silence would never mean anything, and callers of silent targets would not be told. TestFarCallersDoNotMakeThePathSlow fails before and passes after.

--- a/core/steerer/path.go
+++ b/core/steerer/path.go
@@ -12,6 +12,10 @@
 	// are some milliseconds apart; a third of a check's patience leaves the check
 	// room.
 	slowOpening = 50 * time.Millisecond
+	// openingGrowth times the usual is slow where callers are further away, but
+	// slowestOpening always is: a check is given up after 150 ms.
+	openingGrowth  = 3
+	slowestOpening = 120 * time.Millisecond
 	// slowMemory is how long a slow opening counts: some openings come each second.
 	slowMemory = 2 * time.Second
 	// loadSpan is over what time the bytes on the host's link are added up, and
@@ -47,6 +51,8 @@
 	sent         int
 	// senders counts the flows that have sent much since then.
 	senders int
+	// opening is how long flows usually take to open.
+	opening usualTime
 }
 
 // slow reports whether packets may wait on the path.
@@ -55,9 +61,15 @@
 // noteOpened learns from a flow's first packet after its opening packet. A copy of
 // that says that the first was lost, or its target silent, and nothing of the path.
 func (s *Steerer) noteOpened(f *flow) {
-	if took := s.now.Since(f.openedAt); !f.copied && took > slowOpening {
+	if f.copied {
+		return
+	}
+	took := s.now.Since(f.openedAt)
+	limit := min(max(slowOpening, openingGrowth*s.path.opening.median), slowestOpening)
+	if took > limit {
 		s.pathSlow("openingTook", took, slowMemory)
 	}
+	s.path.opening.add(took)
 }
 
 // noteBytes adds up what a packet puts on the host's link, which carries it in and
--- a/core/steerer/path_test.go
+++ b/core/steerer/path_test.go
@@ -40,6 +40,30 @@
 	require.NotEmpty(t, f.hosts["a1"].resets, "the path is good again")
 }
 
+// Symptom: where callers are far away, callers of silent targets are never told.
+// Sequence: each flow takes 70 ms to open, since its caller is 30 ms away; a target
+// falls silent. Cause: a path that is called slow for what is usual on it.
+func TestFarCallersDoNotMakeThePathSlow(t *testing.T) {
+	f := newFleet(t, 1)
+	read := openOn(f, "a1", silentTarget, 0, true)
+	f.kill("a1")
+	f.start("a1") // It has seen no flow open yet.
+	f.step(time.Second)
+	for n := range 30 {
+		c := f.caller(900+n, readRoute)
+		c.open("a1", 0)
+		f.step(70 * time.Millisecond)
+		c.establish("a1")
+	}
+	f.step(2 * time.Second) // The first ones looked slow.
+	c := f.caller(990, readRoute)
+	c.open("a1", 0)
+	f.step(70 * time.Millisecond)
+	c.establish("a1")
+	stall(f, read)
+	require.NotEmpty(t, f.hosts["a1"].resets)
+}
+
 // uploadDuringStall starts a host with a link of some bytes a second, and lets an upload
 // send some packets while a read stalls at a target that does not answer its check.
 func uploadDuringStall(t *testing.T, linkBytesPerSecond, packets int) (*fleet, *caller) {
--- a/core/steerer/quickness.go
+++ b/core/steerer/quickness.go
@@ -18,6 +18,8 @@
 	// median. A crowd of a second or two, with a hundred late answers, must not make
 	// the ordinary ones after it look quick.
 	usualStep = 0.003
+	// shortestUsual keeps the estimate from zero, from which no step leads away.
+	shortestUsual = 100 * time.Microsecond
 	// quickMemory is how long a quick answer counts. Chance brings two in that time,
 	// at all hosts of a zone together, to one target in a hundred.
 	quickMemory = 3 * time.Second
@@ -42,7 +44,7 @@
 	step := 1 + max(usualStep, 1/float64(u.samples))
 	switch {
 	case u.samples == 1:
-		u.median = took
+		u.median = max(took, shortestUsual)
 	case took > u.median:
 		u.median = time.Duration(float64(u.median) * step)
 	default:
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -132,6 +132,7 @@
 without "word of quick answers" steerer/reports.go 's.takeQuick(p.name, r.Quick)' '' TestQuickAnswersAreToldToTheZonesHosts
 without "large links before small ones" steerer/peers.go 'first = p.link > s.config.LinkBytesPerSecond' '' TestHostsWithLargeLinksRead
 without "questions for targets that are gone" steerer/asking.go 'p = s.goneInformant()' 'p = nil' TestHostThatStartsLearnsOfTargetsThatAreGone
+without "what is usual on the path" steerer/path.go 'openingGrowth*s.path.opening.median' '0' TestFarCallersDoNotMakeThePathSlow
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
