--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -81,19 +81,18 @@
 	r := &Runner{path: path, config: config, platform: platform, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue), inspector: inspector.New[*steerer.Steerer]()}
 	incarnation := uint64(r.start.UnixMilli())
 	r.steerer = steerer.New(steerer.Config{
-		Self:             config.Name,
-		Address:          config.AdvertisedAddress,
-		AvailabilityZone: config.AvailabilityZone,
-		Seeds:            config.Seeds,
-		Incarnation:      incarnation,
-		Seed:             incarnation,
-		FirstStart:       config.FirstStart,
-		SettingsWithin:   config.SettingsWithin,
-		DrainingWithin:   config.DrainingWithin,
-		MaxFlows:         int(float64(config.MemoryBytes) * flowShare / flowBytes),
-		Start:            r.now(),
-
+		Self:               config.Name,
+		Address:            config.AdvertisedAddress,
+		AvailabilityZone:   config.AvailabilityZone,
+		Seeds:              config.Seeds,
+		Incarnation:        incarnation,
+		Seed:               incarnation,
+		FirstStart:         config.FirstStart,
+		SettingsWithin:     config.SettingsWithin,
+		DrainingWithin:     config.DrainingWithin,
+		MaxFlows:           int(float64(config.MemoryBytes) * flowShare / flowBytes),
 		LinkBytesPerSecond: config.LinkBytesPerSecond,
+		Start:              r.now(),
 	})
 	var err error
 	if r.forwarder, err = forwarder.New(config.PacketAddress, platform.Codec, platform.MaxDatagramBytes, r.events); err != nil {
--- a/core/reducer/handover.go
+++ b/core/reducer/handover.go
@@ -299,8 +299,7 @@
 	if body.Done {
 		r.takeDone(from, body)
 		for i := range body.Unsent {
-			f := &body.Unsent[i]
-			r.takeUnsent(from, f)
+			r.takeUnsent(from, &body.Unsent[i])
 		}
 	}
 	r.sendPeer(from, ack)
--- a/core/steerer/path.go
+++ b/core/steerer/path.go
@@ -86,8 +86,11 @@
 	p.received += received
 	p.sent += sent
 	rate := float64(s.config.LinkBytesPerSecond)
+	if float64(max(p.received, p.sent)) <= rate*loadSpan.Seconds()*loadShare {
+		return
+	}
 	queue := time.Duration(float64(p.senders*windowBytes) / rate * float64(time.Second))
-	if float64(max(p.received, p.sent)) > rate*loadSpan.Seconds()*loadShare && queue > longQueue {
+	if queue > longQueue {
 		s.pathSlow("linkFull", queue, loadMemory)
 	}
 }
--- a/core/steerer/quickness.go
+++ b/core/steerer/quickness.go
@@ -13,13 +13,6 @@
 	quickShare = 0.25
 	// usualSamples is how many answers of a route are needed to know what is usual.
 	usualSamples = 20
-	// usualStep is how far each answer moves what is taken for usual, as a part of it,
-	// once many have come; the first ones move it further. It comes to rest at the
-	// median. A crowd of a second or two, with a hundred late answers, must not make
-	// the ordinary ones after it look quick.
-	usualStep = 0.003
-	// shortestUsual keeps the estimate from zero, from which no step leads away.
-	shortestUsual = 100 * time.Microsecond
 	// quickMemory is how long a quick answer counts. Chance brings two in that time,
 	// at all hosts of a zone together, to one target in a hundred.
 	quickMemory = 3 * time.Second
@@ -32,26 +25,6 @@
 	maxQuick = 32
 )
 
-// usualTime estimates the median time until a route's answers.
-type usualTime struct {
-	median  time.Duration
-	samples int
-}
-
-// add takes in an answer.
-func (u *usualTime) add(took time.Duration) {
-	u.samples++
-	step := 1 + max(usualStep, 1/float64(u.samples))
-	switch {
-	case u.samples == 1:
-		u.median = max(took, shortestUsual)
-	case took > u.median:
-		u.median = time.Duration(float64(u.median) * step)
-	default:
-		u.median = time.Duration(float64(u.median) / step)
-	}
-}
-
 // tooQuick reports whether no work can have been done in a time.
 func (u *usualTime) tooQuick(took time.Duration) bool {
 	return u.samples >= usualSamples && float64(took) < quickShare*float64(u.median)
@@ -118,7 +91,7 @@
 	}
 }
 
-// quick lists the targets whose quick answers this host saw of late.
+// quickTargets lists the targets whose quick answers this host saw of late.
 func (s *Steerer) quickTargets() []uint32 {
 	var tags []uint32
 	for _, t := range s.targets.ordered() {
--- a/core/steerer/quickness_test.go
+++ b/core/steerer/quickness_test.go
@@ -9,7 +9,7 @@
 )
 
 // answerAfter opens a flow, asks, and acknowledges the answer after a while.
-func answerAfter(f *fleet, name string, n int, d time.Duration) *caller {
+func answerAfter(f *fleet, name string, n int, d time.Duration) {
 	c := f.caller(n, checkRoute)
 	c.open(name, 0)
 	c.establish(name)
@@ -17,7 +17,6 @@
 	f.step(d)
 	c.thank(name)
 	c.finish(name)
-	return c
 }
 
 // usualWork lets a host learn that answers take 100 ms.
--- a/operator/main.go
+++ b/operator/main.go
@@ -197,14 +197,23 @@
 
 func status(out io.Writer) cli.ActionFunc {
 	return func(ctx context.Context, command *cli.Command) error {
-		if command.Args().Len() == 0 {
-			return errors.Newf("usage: spanctl status %s", command.ArgsUsage)
-		}
-		p, err := newPrinter(out, command)
+		p, err := prepareHosts(out, command)
 		if err != nil {
 			return err
 		}
-		hosts, failure := askAll(ctx, command.Args().Slice())
+		var hosts []printer.HostStatus
+		hostAsker := asker.New()
+		failure := askEach(command, func(admin string) error {
+			host := printer.HostStatus{Admin: admin}
+			snapshot, err := hostAsker.Status(ctx, admin)
+			if err != nil {
+				host.Error = err.Error()
+			} else {
+				host.Snapshot = &snapshot
+			}
+			hosts = append(hosts, host)
+			return err
+		})
 		if err := p.Status(hosts); err != nil {
 			return err
 		}
@@ -212,47 +221,48 @@
 	}
 }
 
-// askAll asks every host, also after one failed, and returns the last failure.
-func askAll(ctx context.Context, admins []string) ([]printer.HostStatus, error) {
-	var hosts []printer.HostStatus
-	var failure error
-	hostAsker := asker.New()
-	for _, admin := range admins {
-		host := printer.HostStatus{Admin: admin}
-		snapshot, err := hostAsker.Status(ctx, admin)
-		if err != nil {
-			host.Error = err.Error()
-			failure = err
-		} else {
-			host.Snapshot = &snapshot
-		}
-		hosts = append(hosts, host)
-	}
-	return hosts, failure
-}
-
 func targets(out io.Writer) cli.ActionFunc {
 	return func(ctx context.Context, command *cli.Command) error {
-		if command.Args().Len() == 0 {
-			return errors.Newf("usage: spanctl targets %s", command.ArgsUsage)
-		}
-		p, err := newPrinter(out, command)
+		p, err := prepareHosts(out, command)
 		if err != nil {
 			return err
 		}
 		var hosts []printer.HostTargets
-		var failure error
 		hostAsker := asker.New()
-		for _, admin := range command.Args().Slice() {
+		failure := askEach(command, func(admin string) error {
 			host := printer.HostTargets{Admin: admin}
+			var err error
 			if host.Targets, err = hostAsker.Targets(ctx, admin); err != nil {
 				host.Error = err.Error()
-				failure = err
 			}
 			hosts = append(hosts, host)
+			return err
+		})
+		if err := p.Targets(hosts); err != nil {
+			return err
+		}
+		return failure
+	}
+}
+
+// prepareHosts checks that hosts are named and makes the printer.
+func prepareHosts(out io.Writer, command *cli.Command) (printer.Printer, error) {
+	if command.Args().Len() == 0 {
+		return printer.Printer{}, errors.Newf("usage: spanctl %s %s", command.Name, command.ArgsUsage)
+	}
+	return newPrinter(out, command)
+}
+
+// askEach asks every host that the command names, also after one failed, and returns
+// the last failure.
+func askEach(command *cli.Command, ask func(admin string) error) error {
+	var failure error
+	for _, admin := range command.Args().Slice() {
+		if err := ask(admin); err != nil {
+			failure = err
 		}
-		return errors.CombineErrors(p.Targets(hosts), failure)
 	}
+	return failure
 }
 
 func flows(out io.Writer) cli.ActionFunc {
