Targets that start again under their ID, and entries that name no target

Cause: a target's entry was decoded with its page, so one value that was no base64 left a host that starts without any targets; a missing field was taken for zero, an unknown condition for ready. And a target was known by its ID alone: what was believed of an earlier process (silence, quick answers, requests under way, checks in flight, word of other hosts) was held against the new one.

Change: each item is decoded by itself; a field that is missing, mistyped or out of range names no target, with a line once for each change and a counter. States are ordered by the life of a target (born), then by the platform's revision. With a later life all belief in the earlier one ends, on every host; reads that wait are repeated to the target, which resets what it does not hold. A target that changes its service leaves the choices of the old one. Two targets with one tag: the second is taken once the first has gone.

Ruled out: to reset waiting reads by the host (a flow may have opened at the new life before the news), to order by revision alone (late writes).

Nine red runs, each fails without its mechanism.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	go test ./core/steerer -run TestFleetAgainstOracle -rapid.checks=3000 -rapid.steps=100 -rapid.seed=$$(date +%s)
 	go test ./platform -run '^$$' -fuzz 'FuzzDecode$$' -fuzztime 30s
 	go test ./platform -run '^$$' -fuzz FuzzDecodeSettings -fuzztime 30s
+	go test ./platform -run '^$$' -fuzz FuzzDecodeTarget -fuzztime 30s
 
 soak: build ## real hosts under random faults: make soak SEED=7 RUNS=5
 	bin/standin soak --seed $(or $(SEED),1) --runs $(or $(RUNS),1)
--- a/balancer/internal/fetcher/fetcher.go
+++ b/balancer/internal/fetcher/fetcher.go
@@ -69,10 +69,10 @@
 
 // Probe starts a liveness check.
 func (f *Fetcher) Probe(ctx context.Context, e *steerer.Probe) {
-	platform, target, address, path := f.platform, e.Target, e.Address, e.Path
+	platform, target, born, address, path := f.platform, e.Target, e.Born, e.Address, e.Path
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
 		outcome := platform.Check(ctx, target, address, path)
-		return &steerer.Probed{Target: target, Outcome: outcome, Took: time.Duration(f.clock() - started)}
+		return &steerer.Probed{Target: target, Born: born, Outcome: outcome, Took: time.Duration(f.clock() - started)}
 	})
 }
 
--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -28,7 +28,7 @@
 	// TargetsDigest is equal at hosts that know the same of all targets.
 	TargetsDigest uint64 `cbor:"dig,omitempty"`
 	// Changes are the latest changes of targets.
-	Changes []TargetState `cbor:"chg,omitempty"`
+	Changes []TargetState `cbor:"changes,omitempty"`
 	// Busy counts the sender's requests under way by the target's tag. Only hosts
 	// of its availability zone are told.
 	Busy map[uint32]uint16 `cbor:"busy,omitempty"`
@@ -53,6 +53,11 @@
 	Draining         bool
 	Missing          bool
 	WarmUp           time.Duration
+	// Born is when the target's process started, in milliseconds since 1970; 0 if it
+	// does not say.
+	Born int64
+	// Unreadable says of a missing target that an entry under its ID names no target.
+	Unreadable bool
 }
 
 // HostHint tells where a host may be found.
@@ -92,9 +97,9 @@
 	// Targets travel in Packed, as CBOR compressed with gzip: thousands of them say
 	// much the same.
 	Targets []TargetState `cbor:"-"`
-	Packed  []byte        `cbor:"tgt,omitempty"`
+	Packed  []byte        `cbor:"targets,omitempty"`
 	// Gone are the targets that were asked for as such; GoneTold says that these are
 	// all, also if there is none.
-	Gone     []TargetState `cbor:"gone,omitempty"`
+	Gone     []TargetState `cbor:"goneTargets,omitempty"`
 	GoneTold bool          `cbor:"goneTold,omitempty"`
 }
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -29,13 +29,15 @@
 	ReportsSent
 	// QuickAnswer counts answers that came more quickly than work can be done.
 	QuickAnswer
+	// TargetMalformed counts entries that name no target, once for each change.
+	TargetMalformed
 	numCounts
 )
 
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed",
 	}[c]
 }
 
--- a/core/steerer/effect.go
+++ b/core/steerer/effect.go
@@ -48,7 +48,9 @@
 
 // Probe checks whether a target lives.
 type Probe struct {
-	Target  string
+	Target string
+	// Born is the life of the target that is to be checked; see Target.
+	Born    int64
 	Address netip.AddrPort
 	Path    string
 }
--- a/core/steerer/event.go
+++ b/core/steerer/event.go
@@ -56,8 +56,18 @@
 	// Revision is the platform's revision that the list shows.
 	Revision uint64
 	Targets  []Target
-	// Malformed says of each entry that could not be read why.
-	Malformed []error
+	// Malformed lists the entries that name no target.
+	Malformed []MalformedTarget
+}
+
+// MalformedTarget is a listed entry that names no target: another program's, or one
+// that was written over.
+type MalformedTarget struct {
+	// ID is empty if not even that could be read.
+	ID string
+	// Digest differs as soon as the entry does.
+	Digest uint64
+	Err    error
 }
 
 // ProbeOutcome is what a liveness check has shown.
@@ -100,8 +110,10 @@
 
 // Probed is the outcome of a Probe effect.
 type Probed struct {
-	At      timekeeper.Instant
-	Target  string
+	At     timekeeper.Instant
+	Target string
+	// Born is the life of the target that was checked.
+	Born    int64
 	Outcome ProbeOutcome
 	// Took is how long the check lasted.
 	Took time.Duration
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -41,6 +41,8 @@
 	// waiting says that a request is under way since waitingSince.
 	waiting      bool
 	waitingSince timekeeper.Instant
+	// request is the first packet of the request that waits, if it is kept.
+	request []byte
 	// unconfirmed counts the bytes since the target last showed life.
 	unconfirmed uint32
 	lastPacket  timekeeper.Instant
@@ -157,6 +159,7 @@
 		f.target.busy++
 	} else {
 		f.target.busy--
+		f.request = nil
 	}
 }
 
--- /dev/null
+++ b/core/steerer/foreign_test.go
@@ -0,0 +1,92 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+func logged(f *fleet, name, event string) int {
+	n := 0
+	for _, line := range f.hosts[name].logs {
+		if line.Event == event {
+			n++
+		}
+	}
+	return n
+}
+
+// Symptom: new flows go to a target that the platform does not name any more, or open
+// flows are reset though their target works. Sequence: another program writes over a
+// target's entry; the target serves on. Cause: the entry is passed over as if it were
+// not there, which leaves the target in use for a while, or the target is taken for
+// dead.
+func TestTargetWhoseEntryIsSpoiltKeepsItsFlowsAndGetsNoOthers(t *testing.T) {
+	f := newFleet(t, 2)
+	c := waitAt(f, "a1", reborn, 100)
+	f.spoil(reborn)
+	f.step(1300 * time.Millisecond)
+	c.thank("a1")
+	c.ask("a1")
+	require.Equal(t, reborn, f.last("a1"), "the open flow goes on")
+	c.thank("a1")
+	for _, name := range f.names {
+		require.NotEmpty(t, statusOf(f, name, reborn).Avoided, name)
+		for n := range 60 {
+			other := f.caller(2000+n, checkRoute)
+			other.open(name, 0)
+			require.NotEqual(t, reborn, other.target)
+		}
+		require.Empty(t, f.hosts[name].resets)
+	}
+}
+
+// Symptom: a target is lost for good. Sequence: its entry is written over, and its next
+// heartbeat writes it again. Cause: a state that nothing takes back.
+func TestTargetWhoseEntryIsWrittenAgainIsUsed(t *testing.T) {
+	f := newFleet(t, 1)
+	target := f.targets[reborn]
+	f.spoil(reborn)
+	f.step(1300 * time.Millisecond)
+	require.NotEmpty(t, statusOf(f, "a1", reborn).Avoided)
+	f.malformed = nil
+	f.targets[reborn] = target
+	f.revision++
+	f.step(1300 * time.Millisecond)
+	require.Empty(t, statusOf(f, "a1", reborn).Avoided)
+}
+
+// Symptom: the log says nothing but that an entry can't be read. Sequence: it lies there
+// for minutes, and the list is read every second. Cause: a line for each read.
+func TestEntryIsLoggedOnceForEachChange(t *testing.T) {
+	f := newFleet(t, 1)
+	f.malformed = []steerer.MalformedTarget{{ID: "readme", Digest: 1, Err: errSpoilt}, {Digest: 2, Err: errSpoilt}}
+	f.revision++
+	f.step(5 * time.Second)
+	require.Equal(t, 2, logged(f, "a1", "targetMalformed"))
+	f.malformed[0].Digest = 3
+	f.revision++
+	f.step(5 * time.Second)
+	require.Equal(t, 3, logged(f, "a1", "targetMalformed"))
+	require.Equal(t, uint64(3), f.hosts["a1"].steerer.Snapshot().Counts[steerer.TargetMalformed])
+}
+
+// Symptom: packets of one flow reach two targets. Sequence: another writer's entry has an
+// ID with the number of a target's, so that both have one tag. Cause: both are taken.
+// The one that was there first keeps the tag; once it is gone, the other may have it.
+func TestEntryWithTheNumberOfAnotherGetsNoFlows(t *testing.T) {
+	f := newFleet(t, 1)
+	twin := f.targets[reborn]
+	twin.ID = "x-10000001"
+	f.targets[twin.ID] = twin
+	f.revision++
+	f.step(1300 * time.Millisecond)
+	require.Equal(t, "another target has its tag", statusOf(f, "a1", twin.ID).Avoided)
+	require.Empty(t, statusOf(f, "a1", reborn).Avoided)
+	f.remove(reborn)
+	f.step(4 * time.Second)
+	require.Empty(t, statusOf(f, "a1", twin.ID).Avoided)
+	require.NotEmpty(t, statusOf(f, "a1", reborn).Avoided)
+}
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -121,14 +121,14 @@
 	h.probing = true
 	h.probeDeadline = s.now.Add(probeEvery)
 	s.counts.add(ProbeSent)
-	s.emit(&Probe{Target: t.ID, Address: t.Address, Path: s.settings.healthPath(t.Service)})
+	s.emit(&Probe{Target: t.ID, Born: t.Born, Address: t.Address, Path: s.settings.healthPath(t.Service)})
 }
 
 // probed takes in the outcome of a check.
 func (s *Steerer) probed(e *Probed) {
 	t, ok := s.targets.byID[e.Target]
-	if !ok {
-		return
+	if !ok || t.Born != e.Born {
+		return // It was forgotten, or has started again since, and a check of old says nothing.
 	}
 	h := &t.health
 	h.probing = false
@@ -199,9 +199,9 @@
 // takeUnreachable takes in which targets did not answer another host of the zone.
 // It is no proof: the other's link may be the one that broke. So the targets are
 // checked, before callers have to notice.
-func (s *Steerer) takeUnreachable(tags []uint32) {
+func (s *Steerer) takeUnreachable(from *peer, tags []uint32) {
 	for _, tag := range tags {
-		if t, ok := s.targets.byTag[Tag(tag)]; ok && !t.health.unreachable() {
+		if t, ok := s.told(from, tag); ok && !t.health.unreachable() {
 			s.checkIfUsed(t)
 		}
 	}
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"cranberryspan.dev/core/timekeeper"
@@ -20,23 +19,24 @@
 	missingMemory = 70 * time.Second
 )
 
-// takeList takes in a complete list of targets as of a revision.
-func (s *Steerer) takeList(list []Target, revision uint64) {
-	if revision < s.targetsRevision {
+// takeList takes in a complete list of targets.
+func (s *Steerer) takeList(list TargetList) {
+	if list.Revision < s.targetsRevision {
 		return
 	}
 	first := s.targetsRevision == 0
-	listed := make(map[string]bool, len(list))
-	for _, record := range list {
+	s.takeMalformed(list.Malformed, list.Revision)
+	listed := make(map[string]bool, len(list.Targets))
+	for _, record := range list.Targets {
 		listed[record.ID] = true
-		s.takeRecord(record, revision, "platform")
+		s.takeRecord(record, list.Revision, "platform")
 	}
 	for _, t := range s.targets.ordered() {
-		if !listed[t.ID] && !t.missing && t.seen < revision {
-			s.takeMissing(t, revision, "platform")
+		if !listed[t.ID] && !t.missing && t.seen < list.Revision {
+			s.takeMissing(t, list.Revision, "platform")
 		}
 	}
-	s.targetsRevision = revision
+	s.targetsRevision = list.Revision
 	if first {
 		s.logFirstTargets("platform")
 	}
@@ -64,13 +64,19 @@
 	known, ok := s.targets.byID[record.ID]
 	if ok && !known.missing && known.same(record) {
 		known.warmUpDeadline = s.now.Add(record.WarmUp)
+		s.targets.claimTag(known) // Its last holder may have gone.
 		return
 	}
-	if ok && seen <= known.seen {
+	if ok && !known.olderThan(record.Born, seen) {
 		return
 	}
+	reborn := ok && record.Born != known.Born
 	t, shared := s.targets.put(record, seen)
 	t.missing = false
+	t.unreadable = false
+	if reborn {
+		s.beginLife(t, from)
+	}
 	t.warmUpDeadline = s.now.Add(record.WarmUp)
 	s.peers.changed(t, s.now)
 	if s.targetsRevision != 0 {
@@ -82,7 +88,7 @@
 	}
 }
 
-// takeMissing takes in that a target is no longer listed.
+// takeMissing takes in that a target is no longer listed, as seen at a revision.
 func (s *Steerer) takeMissing(t *target, seen uint64, from string) {
 	t.seen = seen
 	t.missing = true
@@ -98,8 +104,8 @@
 // in trouble entries of live targets vanish, at worst all of them, and callers
 // are refused although every target works.
 func (s *Steerer) gone(t *target) bool {
-	if !t.missing {
-		return false
+	if !t.missing || t.unreadable {
+		return t.unreadable
 	}
 	since := max(t.missingSince, s.reading.returnedAt)
 	lapsing := !since.Add(lapseTime).Passed(s.now) || s.reading.failedSince != 0
@@ -116,17 +122,6 @@
 	}
 }
 
-// ordered lists all targets by ID, so that equal events give equal effects.
-func (t *table) ordered() []*target {
-	if t.sorted == nil {
-		for _, one := range t.byID {
-			t.sorted = append(t.sorted, one)
-		}
-		slices.SortFunc(t.sorted, func(x, y *target) int { return strings.Compare(x.ID, y.ID) })
-	}
-	return t.sorted
-}
-
 // flowsTo lists the flows to a target in a fixed order.
 func (s *Steerer) flowsTo(t *target) []flowKey {
 	var keys []flowKey
--- a/core/steerer/quickness.go
+++ b/core/steerer/quickness.go
@@ -78,16 +78,16 @@
 }
 
 // takeQuick takes in whose quick answers another host of the zone saw.
-func (s *Steerer) takeQuick(from string, tags []uint32) {
+func (s *Steerer) takeQuick(from *peer, tags []uint32) {
 	for _, tag := range tags {
-		t, ok := s.targets.byTag[Tag(tag)]
+		t, ok := s.told(from, tag)
 		if !ok {
 			continue
 		}
 		if t.quick.peers == nil {
 			t.quick.peers = map[string]timekeeper.Instant{}
 		}
-		t.quick.peers[from] = s.now.Add(quickMemory)
+		t.quick.peers[from.name] = s.now.Add(quickMemory)
 	}
 }
 
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -192,8 +192,5 @@
 	if e.Err != nil {
 		return
 	}
-	for _, err := range e.List.Malformed {
-		s.log("targetMalformed", field("error", err.Error()))
-	}
-	s.takeList(e.List.Targets, e.List.Revision)
+	s.takeList(e.List)
 }
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -34,8 +34,8 @@
 	p.revision = r.TargetsRevision
 	p.digest = r.TargetsDigest
 	s.takeBusy(p, r.Busy)
-	s.takeUnreachable(r.Unreachable)
-	s.takeQuick(p.name, r.Quick)
+	s.takeUnreachable(p, r.Unreachable)
+	s.takeQuick(p, r.Quick)
 	for _, hint := range r.Hosts {
 		if hint.Name != s.config.Self {
 			s.notePeer(hint.Name, hint.Address)
@@ -59,13 +59,23 @@
 	}
 	p.busy = make(map[uint32]uint16, len(busy))
 	for tag, n := range busy {
-		if t, ok := s.targets.byTag[Tag(tag)]; ok {
+		if t, ok := s.told(p, tag); ok {
 			t.peersBusy += int(n)
 			p.busy[tag] = n
 		}
 	}
 }
 
+// told returns the target that a host's report speaks of, by its tag. What a host says
+// that has not learned yet that the target has started again is about its earlier life.
+func (s *Steerer) told(p *peer, tag uint32) (*target, bool) {
+	t, ok := s.targets.byTag[Tag(tag)]
+	if !ok || p.revision < t.bornAt {
+		return nil, false
+	}
+	return t, true
+}
+
 // compareSettings learns from a report how new the own settings are.
 func (s *Steerer) compareSettings(r *messenger.Report) {
 	switch {
@@ -108,7 +118,9 @@
 func (s *Steerer) takeState(state messenger.TargetState, from string) {
 	known, ok := s.targets.byID[state.ID]
 	if state.Missing {
-		if ok && !known.missing && state.Seen > known.seen {
+		if ok && !known.missing && known.olderThan(state.Born, state.Seen) {
+			known.Born = state.Born
+			known.unreadable = state.Unreadable
 			s.takeMissing(known, state.Seen, from)
 		}
 		return
@@ -124,7 +136,7 @@
 func recordOf(state messenger.TargetState, number Number) Target {
 	return Target{
 		ID: state.ID, Number: number, Service: state.Service, Address: state.Address,
-		AvailabilityZone: state.AvailabilityZone, Slots: state.Slots, Draining: state.Draining, WarmUp: state.WarmUp,
+		AvailabilityZone: state.AvailabilityZone, Slots: state.Slots, Draining: state.Draining, WarmUp: state.WarmUp, Born: state.Born,
 	}
 }
 
@@ -256,6 +268,7 @@
 	return messenger.TargetState{
 		ID: t.ID, Seen: t.seen, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
 		Slots: t.Slots, Draining: t.Draining, Missing: t.missing, WarmUp: max(t.warmUpDeadline.Until(now), 0),
+		Born: t.Born, Unreadable: t.unreadable,
 	}
 }
 
@@ -274,6 +287,9 @@
 		if one.Draining {
 			state += "\x00draining"
 		}
+		if one.Born != 0 {
+			state += "\x00" + itoa(int(one.Born))
+		}
 		t.digestValue += xxhash.Sum64String(state)
 	}
 	return t.digestValue
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -68,6 +68,8 @@
 	// targetsRevision is the newest revision of the platform that is reflected
 	// in targets; 0 before any.
 	targetsRevision uint64
+	// malformed holds the digests of the entries that last named no target.
+	malformed map[uint64]bool
 
 	flows map[flowKey]*flow
 	// flowSweepDeadline is when forgotten flows are next looked for.
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -167,6 +167,7 @@
 	}
 	if !f.waiting {
 		s.setWaiting(f, true)
+		f.keepRequest(p)
 	}
 }
 
--- /dev/null
+++ b/core/steerer/table.go
@@ -0,0 +1,94 @@
+package steerer
+
+import (
+	"slices"
+	"strings"
+)
+
+// table holds the targets that this host knows.
+type table struct {
+	byID  map[string]*target
+	byTag map[Tag]*target
+	// byService lists, for each service, the targets that new flows may go to: those
+	// that hold their tag.
+	byService map[string][]*target
+	// sorted is byID in the order of IDs; nil after a change.
+	sorted []*target
+	// digestValue is kept until something changes.
+	digestValue uint64
+	digestValid bool
+}
+
+func newTable() table {
+	return table{byID: map[string]*target{}, byTag: map[Tag]*target{}, byService: map[string][]*target{}}
+}
+
+// put adds a target or changes what is known of it. It reports whether another
+// target already has its tag; such a target can't be told apart in packets.
+func (t *table) put(record Target, seen uint64) (*target, bool) {
+	t.digestValid = false
+	one, known := t.byID[record.ID]
+	if !known {
+		one = &target{tag: record.Number.tag()}
+		t.byID[record.ID] = one
+		t.sorted = nil
+	}
+	one.Target = record
+	one.seen = seen
+	return one, !t.claimTag(one)
+}
+
+// claimTag makes a target the one that its tag names, unless another that is listed
+// has the tag already. It reports whether the target holds it.
+//
+// What goes wrong if a target without its tag, or one that has changed its service,
+// stays among the choices: a flow is placed on it, and the flow's later packets go to
+// the tag's holder, or it runs what another service was asked.
+func (t *table) claimTag(one *target) bool {
+	if holder := t.byTag[one.tag]; holder != nil && holder != one {
+		if !holder.missing {
+			t.list(one, "")
+			return false
+		}
+		t.list(holder, "")
+	}
+	t.byTag[one.tag] = one
+	t.list(one, one.Service)
+	return true
+}
+
+// list moves a target to the choices of a service, or takes it out of all.
+func (t *table) list(one *target, service string) {
+	if one.listedUnder == service {
+		return
+	}
+	if one.listedUnder != "" {
+		siblings := t.byService[one.listedUnder]
+		t.byService[one.listedUnder] = slices.DeleteFunc(siblings, func(sibling *target) bool { return sibling == one })
+	}
+	if service != "" {
+		t.byService[service] = append(t.byService[service], one)
+	}
+	one.listedUnder = service
+}
+
+// remove forgets a target.
+func (t *table) remove(gone *target) {
+	t.sorted = nil
+	t.list(gone, "")
+	delete(t.byID, gone.ID)
+	if t.byTag[gone.tag] == gone {
+		delete(t.byTag, gone.tag)
+	}
+}
+
+// ordered lists all targets by ID, so that equal events give equal effects.
+func (t *table) ordered() []*target {
+	if t.sorted == nil {
+		for _, one := range t.byID {
+			t.sorted = append(t.sorted, one)
+		}
+		slices.SortFunc(t.sorted, func(x, y *target) int { return strings.Compare(x.ID, y.ID) })
+	}
+	return t.sorted
+}
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -51,6 +51,10 @@
 	Draining bool
 	// WarmUp is for how much longer it is slow, from when the record was read.
 	WarmUp time.Duration
+	// Born is when its process started, in milliseconds since 1970 by its own clock; 0 if
+	// it does not say. A target that starts again under its ID lives anew: of two states
+	// that of the later life holds.
+	Born int64
 }
 
 // same reports whether two records say the same but for the passing of time.
@@ -63,11 +67,20 @@
 type target struct {
 	Target
 	tag Tag
+	// listedUnder is the service in whose list of choices the target stands; empty if
+	// in none.
+	listedUnder string
 	// seen is the revision of the platform at which the state was first read. Of
 	// two states of a target that hosts tell each other the one seen later holds.
 	seen uint64
 	// missing is set while the platform lists the target no more.
 	missing bool
+	// unreadable is set while the platform lists an entry under the target's ID that
+	// names no target. The target is missing, too.
+	unreadable bool
+	// bornAt is the platform's revision at which this life was first read; 0 for the
+	// first life that this host knows.
+	bornAt uint64
 	// missingSince is when that was noticed.
 	missingSince timekeeper.Instant
 	// warmUpDeadline is when the target has its full speed.
@@ -84,56 +97,3 @@
 	health health
 	quick  quickness
 }
-
-// table holds the targets that this host knows.
-type table struct {
-	byID      map[string]*target
-	byTag     map[Tag]*target
-	byService map[string][]*target
-	// sorted is byID in the order of IDs; nil after a change.
-	sorted []*target
-	// digestValue is kept until something changes.
-	digestValue uint64
-	digestValid bool
-}
-
-func newTable() table {
-	return table{byID: map[string]*target{}, byTag: map[Tag]*target{}, byService: map[string][]*target{}}
-}
-
-// put adds a target or changes what is known of it. It reports whether another
-// target already has its tag; such a target can't be told apart in packets.
-func (t *table) put(record Target, seen uint64) (*target, bool) {
-	t.digestValid = false
-	known, ok := t.byID[record.ID]
-	if ok {
-		known.Target = record
-		known.seen = seen
-		return known, false
-	}
-	t.sorted = nil
-	added := &target{Target: record, tag: record.Number.tag(), seen: seen}
-	t.byID[record.ID] = added
-	if holder, taken := t.byTag[added.tag]; taken && !holder.missing {
-		return added, true
-	}
-	t.byTag[added.tag] = added
-	t.byService[record.Service] = append(t.byService[record.Service], added)
-	return added, false
-}
-
-// remove forgets a target.
-func (t *table) remove(gone *target) {
-	t.sorted = nil
-	delete(t.byID, gone.ID)
-	if t.byTag[gone.tag] == gone {
-		delete(t.byTag, gone.tag)
-	}
-	siblings := t.byService[gone.Service]
-	for i, sibling := range siblings {
-		if sibling == gone {
-			t.byService[gone.Service] = append(siblings[:i:i], siblings[i+1:]...)
-			return
-		}
-	}
-}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -133,6 +133,15 @@
 without "large links before small ones" steerer/peers.go 'first = p.link > s.config.LinkBytesPerSecond' '' TestHostsWithLargeLinksRead
 without "questions for targets that are gone" steerer/asking.go 'p = s.goneInformant()' 'p = nil' TestHostThatStartsLearnsOfTargetsThatAreGone
 without "what is usual on the path" steerer/path.go 'openingGrowth*s.path.opening.median' '0' TestFarCallersDoNotMakeThePathSlow
+without "the end of what was believed of an earlier life" steerer/listing.go 'if reborn {' 'if reborn && from == "" {' 'TestTargetThatStartsAgainIsUsedAtOnce|TestRequestsOfAnEarlierLifeAreNoLoad|TestRestartIsKnownOnEveryHost'
+without "the repeat to the new life" steerer/life.go 'if f.waiting && len(f.request) > 0 {' 'if false {' TestRequestThatWaitsIsRepeatedToTheNewLife
+without "the life of a check" steerer/health.go '|| t.Born != e.Born' '' TestCheckOfAnEarlierLifeSaysNothing
+without "lives before revisions" steerer/life.go 'if born != t.Born {' 'if false {' TestLaterLifeHoldsOverALaterRevision
+without "the life that a host's word is about" steerer/reports.go 'if !ok || p.revision < t.bornAt {' 'if !ok {' TestWordOfAHostThatMissedTheRestartCountsForNothing
+without "targets that leave a service" steerer/table.go 't.list(one, one.Service)' 'if one.listedUnder == "" { t.list(one, one.Service) }' TestTargetThatStartsAgainInAnotherService
+without "no flows for spoilt entries" steerer/listing.go 'if !t.missing || t.unreadable {' 'if !t.missing {' TestTargetWhoseEntryIsSpoiltKeepsItsFlowsAndGetsNoOthers
+without "one line for each change of an entry" steerer/foreign.go 'if !logged[entry.Digest] {' 'if !logged[0] {' TestEntryIsLoggedOnceForEachChange
+without "one holder for each tag" steerer/table.go 'if !holder.missing {' 'if false {' TestEntryWithTheNumberOfAnotherGetsNoFlows
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
