Requests wait while a service is asked for more than its targets can do

Cause: in a crowd, or after a loss of targets, every target's queue is full. Each answer is late, checks like feeds, and full targets reset flows of checks, which then fail.

Change: package pacer. Each host learns from answer times how pressed a service is and bounds what it has under way there (a window by gradient). Requests of open read flows wait at the host, those first that can still be in time, for less than half of their timeout. New read flows are refused at once while others wait. Checks and uploads never wait. Quick answers of a pressed service are no failures.

--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -66,7 +66,7 @@
 	if !t.warmUpDeadline.Passed(s.now) {
 		load = (load + 1/float64(max(t.Slots, 1))) * warmingLoad
 	}
-	if s.failsWork(t) {
+	if s.failsWork(t) && !s.pressed(t.Service) {
 		load += quickLoad
 	}
 	if t.AvailabilityZone != s.config.AvailabilityZone {
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -31,13 +31,15 @@
 	QuickAnswer
 	// TargetMalformed counts entries that name no target, once for each change.
 	TargetMalformed
+	// RequestPaced counts requests that had to wait at this host.
+	RequestPaced
 	numCounts
 )
 
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced",
 	}[c]
 }
 
@@ -59,7 +61,11 @@
 	// been confirmed.
 	SettingsAge time.Duration
 	TargetsAge  time.Duration
-	Ready       bool
+	// Paced counts the requests that wait at this host, Pressed the services that are
+	// asked for more than their targets can do.
+	Paced   int
+	Pressed int
+	Ready   bool
 }
 
 // Snapshot returns the present figures.
@@ -68,6 +74,12 @@
 	snapshot.SettingsAge = age(s.now, s.reading.settings.confirmed)
 	snapshot.TargetsAge = age(s.now, s.reading.targets.confirmed)
 	snapshot.Ready = s.Ready()
+	snapshot.Paced = s.paced
+	for _, v := range s.services {
+		if v.load.Pressed() {
+			snapshot.Pressed++
+		}
+	}
 	for _, t := range s.targets.byID {
 		if t.health.unreachable() {
 			snapshot.Unreachable++
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -43,6 +43,11 @@
 	waitingSince timekeeper.Instant
 	// request is the first packet of the request that waits, if it is kept.
 	request []byte
+	// paced is the flow's request that waits at this host, pacedFor how long the last
+	// one waited. underWay is the service that counts the request that was passed on.
+	paced    *pacedRequest
+	pacedFor time.Duration
+	underWay *service
 	// unconfirmed counts the bytes since the target last showed life.
 	unconfirmed uint32
 	lastPacket  timekeeper.Instant
@@ -79,6 +84,7 @@
 	if s.flows[key] != f {
 		return
 	}
+	s.dropPaced(f)
 	s.setWaiting(f, false)
 	f.target.flows--
 	if !f.opened {
@@ -88,6 +94,7 @@
 }
 
 func (s *Steerer) close(f *flow) {
+	s.dropPaced(f)
 	s.setWaiting(f, false)
 	f.closed = true
 }
@@ -139,6 +146,7 @@
 
 // move counts a flow at another target.
 func (s *Steerer) move(f *flow, to *target) {
+	s.dropPaced(f)
 	s.setWaiting(f, false)
 	f.target.flows--
 	to.flows++
@@ -160,6 +168,7 @@
 	} else {
 		f.target.busy--
 		f.request = nil
+		f.endUnderWay()
 	}
 }
 
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -222,7 +222,7 @@
 func (s *Steerer) resetWaiting(t *target) {
 	for _, key := range s.flowsTo(t) {
 		f := s.flows[key]
-		if !f.waiting || f.route.Kind != KindIdempotent {
+		if !f.waiting && f.paced == nil || f.route.Kind != KindIdempotent {
 			continue
 		}
 		p := Packet{Caller: key.caller, Service: key.service, Acknowledged: f.acknowledged}
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -12,6 +12,8 @@
 	Flows     int `json:"flows"`
 	Busy      int `json:"busy"`
 	PeersBusy int `json:"peersBusy"`
+	// Paced counts the requests that wait at this host for the target.
+	Paced int `json:"paced"`
 	// Avoided says why new flows go elsewhere; empty if nothing speaks against the
 	// target but its load.
 	Avoided string `json:"avoided,omitempty"`
@@ -23,7 +25,7 @@
 	for _, t := range s.targets.ordered() {
 		list = append(list, TargetStatus{
 			Target: t.ID, Service: t.Service, AvailabilityZone: t.AvailabilityZone, Address: t.Address.String(), Slots: t.Slots,
-			Flows: t.flows, Busy: t.busy + t.opening, PeersBusy: t.peersBusy, Avoided: s.avoided(t),
+			Flows: t.flows, Busy: t.busy + t.opening, PeersBusy: t.peersBusy, Paced: t.line.Len(), Avoided: s.avoided(t),
 		})
 	}
 	return list
--- a/core/steerer/leaving.go
+++ b/core/steerer/leaving.go
@@ -42,6 +42,9 @@
 	s.leaving.begun = true
 	s.leaving.earliest = s.now.Add(leaveAtLeast)
 	s.leaving.latest = s.now.Add(leaveAtMost)
+	for _, t := range s.targets.ordered() {
+		s.passAllPaced(t, "leaving")
+	}
 	s.log("leaving", field("openFlows", itoa(len(s.flows))))
 }
 
--- a/core/steerer/life.go
+++ b/core/steerer/life.go
@@ -27,8 +27,9 @@
 		field("flows", itoa(t.flows)), field("from", from))
 	t.bornAt = t.seen
 	for _, key := range s.flowsTo(t) {
-		s.askAgain(s.flows[key], t)
-		s.forget(key, s.flows[key])
+		f := s.flows[key]
+		s.askAgain(f, t)
+		s.forget(key, f)
 	}
 	t.health = health{}
 	t.quick = quickness{}
@@ -38,7 +39,8 @@
 	t.peersBusy = 0
 }
 
-// askAgain repeats a request that waits to a target that has started again.
+// askAgain repeats a request that waits to a target that has started again, or passes
+// on one that waits at this host.
 //
 // A target answers packets of flows that it does not hold with a reset, so that the
 // caller asks elsewhere at once. What goes wrong without the repeat: the old life had
@@ -46,6 +48,12 @@
 // deadline. A reset by this host would be a guess: the flow may have opened at the new
 // life, before the news of it came, and then the repeat does no harm.
 func (s *Steerer) askAgain(f *flow, t *target) {
+	if f.paced != nil {
+		for _, data := range f.paced.packets {
+			s.sendTarget(t, 0, data)
+		}
+		return
+	}
 	if f.waiting && len(f.request) > 0 {
 		s.sendTarget(t, 0, f.request)
 	}
@@ -53,9 +61,9 @@
 
 // keepRequest keeps a request that has begun, if it may run more than once and fits a
 // packet; see askAgain.
-func (f *flow) keepRequest(p *Packet) {
-	if f.route.Kind == KindIdempotent && len(p.Data) <= maxKeptRequest {
-		f.request = slices.Clone(p.Data)
+func (f *flow) keepRequest(data []byte) {
+	if f.route.Kind == KindIdempotent && len(data) <= maxKeptRequest {
+		f.request = slices.Clone(data)
 	}
 }
 
--- a/core/steerer/path.go
+++ b/core/steerer/path.go
@@ -69,7 +69,7 @@
 	if took > limit {
 		s.pathSlow("openingTook", took, slowMemory)
 	}
-	s.path.opening.add(took)
+	s.path.opening.add(took, false)
 }
 
 // noteBytes adds up what a packet puts on the host's link, which carries it in and
--- a/core/steerer/quickness.go
+++ b/core/steerer/quickness.go
@@ -27,7 +27,7 @@
 
 // tooQuick reports whether no work can have been done in a time.
 func (u *usualTime) tooQuick(took time.Duration) bool {
-	return u.samples >= usualSamples && float64(took) < quickShare*float64(u.median)
+	return u.known() && float64(took) < quickShare*float64(u.median)
 }
 
 // quickness is what a host concludes of a target from answers that come too quickly.
@@ -45,20 +45,24 @@
 // of its service and gets most new flows. One notices by callers that fail again and
 // again at one target. What is in an answer can't be read here, but how quickly it
 // comes can.
+//
+// While the service is pressed it is not held against a target: full targets refuse at
+// once, and work that goes elsewhere for it fills the next.
 func (s *Steerer) noteAnswer(f *flow, took time.Duration) {
 	u, ok := s.usual[f.route.Name]
 	if !ok {
 		u = &usualTime{}
 		s.usual[f.route.Name] = u
 	}
-	if u.tooQuick(took) {
+	pressed := s.pressed(f.target.Service)
+	if u.tooQuick(took) && !pressed {
 		q := &f.target.quick
 		q.own[0], q.own[1] = q.own[1], s.now
 		s.counts.add(QuickAnswer)
 		s.log("answerTooQuick", field("target", f.target.ID), field("route", f.route.Name),
 			field("tookMillis", millis(took)), field("usualMillis", millis(u.median)))
 	}
-	u.add(took)
+	u.add(took, pressed)
 }
 
 // failsWork reports whether a target answers more quickly than it can work.
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -83,8 +83,13 @@
 	pause   pause
 	path    path
 	// usual holds the usual time until an answer, by route.
-	usual   map[string]*usualTime
-	leaving leaving
+	usual map[string]*usualTime
+	// services holds the load of each service, paced counts the requests that wait at
+	// this host, and underWay lists those that were passed on, the oldest first.
+	services map[string]*service
+	paced    int
+	underWay []underWayCheck
+	leaving  leaving
 
 	effects   []Effect
 	toTargets []ToTarget
@@ -94,14 +99,15 @@
 // New makes the steerer of a host that has just started and knows nothing.
 func New(config Config) *Steerer {
 	s := &Steerer{
-		config:  config,
-		now:     config.Start,
-		random:  rand.New(rand.NewPCG(config.Seed, config.Incarnation)),
-		removed: map[netip.AddrPort]bool{},
-		targets: newTable(),
-		flows:   map[flowKey]*flow{},
-		peers:   newPeers(),
-		usual:   map[string]*usualTime{},
+		config:   config,
+		now:      config.Start,
+		random:   rand.New(rand.NewPCG(config.Seed, config.Incarnation)),
+		removed:  map[netip.AddrPort]bool{},
+		targets:  newTable(),
+		flows:    map[flowKey]*flow{},
+		peers:    newPeers(),
+		usual:    map[string]*usualTime{},
+		services: map[string]*service{},
 	}
 	s.pause.lastTick = config.Start
 	if config.FirstStart && !slices.Contains(config.Seeds, config.Address) {
@@ -148,6 +154,7 @@
 func (s *Steerer) tick() {
 	s.notePause()
 	s.checkOpenings()
+	s.pacingTick()
 	s.expireFlows()
 	s.expireTargets()
 	s.healthTick()
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -43,6 +43,10 @@
 		s.refuse(p, "noTarget", field("service", service), field("targets", itoa(len(s.targets.byService[service]))))
 		return
 	}
+	if f == nil && s.wouldWait(route, to) {
+		s.refuse(p, "overload", field("service", service), field("waiting", itoa(s.service(service).paced)))
+		return
+	}
 	if f == nil {
 		f = &flow{target: to, route: route, openedAt: s.now, lastPacket: s.now}
 		if !s.remember(key, f) {
@@ -95,6 +99,9 @@
 	route, routed := s.settings.RouteAt(p.Service)
 	if !routed && s.removed[p.Service] {
 		// The flow's route was dropped; the caller should learn it at once.
+		if f != nil {
+			s.dropPaced(f)
+		}
 		s.resetFlow(p, f, to, "routeRemoved")
 		return
 	}
@@ -107,7 +114,12 @@
 	}
 	s.noteBulk(f, p)
 	s.follow(f, to, p)
-	s.observe(f, p)
+	if f.paced != nil && s.pacedPacket(f, p) {
+		return
+	}
+	if s.observe(key, f, p) {
+		return
+	}
 	if to.health.unreachable() && f.route.Kind == KindIdempotent && p.Length > 0 {
 		s.resetFlow(p, f, to, "targetUnreachable")
 		s.forget(key, f)
@@ -136,28 +148,24 @@
 	s.noteProgress(to)
 }
 
-// observe reads from a caller's packet whether its target works.
-func (s *Steerer) observe(f *flow, p *Packet) {
+// observe reads from a caller's packet whether its target works, and whether a request
+// begins. It reports whether the packet has to wait at this host.
+func (s *Steerer) observe(key flowKey, f *flow, p *Packet) bool {
 	if after(p.Acknowledged, f.acknowledged) {
 		f.acknowledged = p.Acknowledged
 		f.unconfirmed = 0
 		s.noteProgress(f.target)
-		if f.waiting {
-			took := s.now.Since(f.waitingSince)
-			s.emit(&Answered{Route: f.route, Latency: took})
-			s.noteAnswer(f, took)
-			s.setWaiting(f, false)
-		}
+		s.answered(f)
 	}
 	if p.Length == 0 || f.closed {
-		return
+		return false
 	}
 	end := p.Sequence + p.Length
 	if !after(end, f.sentEnd) {
 		if f.waiting {
 			s.noteStall(f.target, "dataRepeated")
 		}
-		return
+		return false
 	}
 	f.unconfirmed += p.Length
 	f.sentEnd = end
@@ -165,10 +173,29 @@
 		f.unconfirmed = 0
 		s.noteProgress(f.target)
 	}
+	if f.waiting {
+		return false
+	}
+	if s.pace(key, f, p) {
+		return true
+	}
+	f.pacedFor = 0
+	s.beginRequest(key, f)
+	f.keepRequest(p.Data)
+	return false
+}
+
+// answered takes in that the caller has the beginning of an answer.
+func (s *Steerer) answered(f *flow) {
 	if !f.waiting {
-		s.setWaiting(f, true)
-		f.keepRequest(p)
+		return
 	}
+	took := s.now.Since(f.waitingSince)
+	s.emit(&Answered{Route: f.route, Latency: took + f.pacedFor})
+	s.learnLoad(f, took)
+	s.noteAnswer(f, took)
+	s.setWaiting(f, false)
+	s.passOn(s.service(f.target.Service))
 }
 
 // unknownTag handles a packet whose target this host does not know.
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"cranberryspan.dev/core/pacer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cespare/xxhash/v2"
 )
@@ -94,6 +95,9 @@
 	// peersBusy is the sum of what the other hosts of the zone report.
 	peersBusy int
 
+	// line holds the requests that wait at this host for the target.
+	line pacer.Line[*pacedRequest]
+
 	health health
 	quick  quickness
 }
--- a/core/steerer/usual.go
+++ b/core/steerer/usual.go
@@ -8,6 +8,9 @@
 	// median. A crowd of a second or two, with a hundred late answers, must not make
 	// the ordinary ones after it look quick.
 	usualStep = 0.003
+	// pressedStep is that part while a service is asked for more than it can do. At 50
+	// answers a second an overload of 6 s moves the estimate by a tenth at the most.
+	pressedStep = usualStep / 10
 	// shortestUsual keeps the estimate from zero, from which no step leads away.
 	shortestUsual = 100 * time.Microsecond
 )
@@ -19,10 +22,17 @@
 	samples int
 }
 
-// add takes in a time.
-func (u *usualTime) add(took time.Duration) {
+// known reports whether enough times have come to know what is usual.
+func (u *usualTime) known() bool { return u.samples >= usualSamples }
+
+// add takes in a time. One that came while targets were full says less of what is
+// usual, but not nothing: work may have become slower for good.
+func (u *usualTime) add(took time.Duration, pressed bool) {
 	u.samples++
 	step := 1 + max(usualStep, 1/float64(u.samples))
+	if pressed {
+		step = 1 + pressedStep
+	}
 	switch {
 	case u.samples == 1:
 		u.median = max(took, shortestUsual)
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -142,6 +142,23 @@
 without "no flows for spoilt entries" steerer/listing.go 'if !t.missing || t.unreadable {' 'if !t.missing {' TestTargetWhoseEntryIsSpoiltKeepsItsFlowsAndGetsNoOthers
 without "one line for each change of an entry" steerer/foreign.go 'if !logged[entry.Digest] {' 'if !logged[0] {' TestEntryIsLoggedOnceForEachChange
 without "one holder for each tag" steerer/table.go 'if !holder.missing {' 'if false {' TestEntryWithTheNumberOfAnotherGetsNoFlows
+without "requests that wait" steerer/pacing.go 'if !s.mayPace(f, v) {' 'if true {' 'TestFeedWaitsWhileItsServiceIsPressed|TestNewFeedIsRefusedWhileOthersWait'
+without "the bound on a wait" pacer/line.go 'return r.lastDeadline.Passed(now)' 'return false' TestPacedRequestIsPassedOnWhileItsCallerHasTime
+without "repeats that wait, too" steerer/steering.go 'if f.paced != nil && s.pacedPacket(f, p) {' 'if false {' TestRepeatsOfAPacedRequestAreNotPassedOn
+without "the end of a request whose caller has gone" steerer/flow.go 'func (s *Steerer) close(f *flow) {
+	s.dropPaced(f)' 'func (s *Steerer) close(f *flow) {' TestPacedRequestOfACallerThatHasGoneIsDropped
+without "refusals while others wait" steerer/pacing.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
+without "what waits at a host that leaves" steerer/leaving.go 's.passAllPaced(t, "leaving")' '_ = t' TestLeavingHostPassesOnWhatWaits
+without "resets of what waits for a silent target" steerer/health.go '!f.waiting && f.paced == nil' '!f.waiting' TestPacedRequestOfASilentTargetIsReset
+without "resets of what waits for a removed route" steerer/pacing.go 'if s.removed[r.key.service] {' 'if false {' TestPacedRequestOfARemovedRouteIsReset
+without "the end of counts nobody else ends" steerer/pacing.go 'f.waitingSince == check.since {' 'false {' TestUnseenResetsDoNotHoldUpOthers
+without "refusals that are no failures" steerer/quickness.go 'u.tooQuick(took) && !pressed' 'u.tooQuick(took)' TestRefusalsOfAPressedServiceAreNoFailures
+
+package=pacer
+without "the gradient of the window" pacer/pacer.go 'next := l.window*gradient + headroom' 'next := l.window + headroom + 0*gradient' TestCrowdFindsShortQueues
+without "room for those that can be in time" pacer/line.go 'inTime := !r.aimDeadline.Passed(now)' 'inTime := true' 'TestCrowdFindsShortQueues|TestRequestThatWillBeLateLeavesItsPlaceToOthers'
+without "the turn of those that will be late" pacer/line.go 'if r.turnDeadline.Passed(now) {' 'if false {' TestWaitIsBounded
+without "the end of pacing" pacer/pacer.go '(before && l.pressure > calmBelow)' 'before' TestUsualLoadDoesNotWait
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
