--- a/core/steerer/pacing.go
+++ b/core/steerer/pacing.go
@@ -210,10 +210,11 @@
 }
 
 // learnLoad learns from an answer how pressed its service is. An answer that came
-// too quickly for work says nothing of the time that work takes.
+// too quickly for work says nothing of the time that work takes, and neither do answers
+// that were late because this host stood still.
 func (s *Steerer) learnLoad(f *flow, took time.Duration) {
 	u, ok := s.usual[f.route.Name]
-	if !ok || !u.known() || u.tooQuick(took) {
+	if !ok || !u.known() || u.tooQuick(took) || !s.pause.trustDeadline.Passed(s.now) {
 		return
 	}
 	v := s.service(f.target.Service)
--- a/core/steerer/pacing_test.go
+++ b/core/steerer/pacing_test.go
@@ -228,3 +228,23 @@
 	require.Empty(t, statusOf(f, "a1", failing).Avoided)
 	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Counts[steerer.QuickAnswer])
 }
+
+// Symptom: after a moment in which a host stood still, feeds wait there although targets
+// are idle. Sequence: requests are under way; the host stands still for 0.7 s; their
+// answers are acknowledged. Cause: the host's own delay is taken for load.
+func TestPausedHostDoesNotTakeItsOwnDelayForLoad(t *testing.T) {
+	f := newFleet(t, 1)
+	f.settings = settingsOf(2, objectiveRoutes())
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	checks := fillWindow(f, 100)
+	checks = append(checks, fillWindow(f, 200)...)
+	f.now = f.now.Add(700 * time.Millisecond)
+	f.step(steerer.TickEvery)
+	for _, c := range checks {
+		c.thank("a1")
+	}
+	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Pressed)
+}
