What waited in the socket of a host that stood still for long is dropped

Change: packets read within 20 ms of a pause of 2 s or more are dropped; callers repeat what they still wait for.

--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -33,13 +33,15 @@
 	TargetMalformed
 	// RequestPaced counts requests that had to wait at this host.
 	RequestPaced
+	// DropStale counts packets that came while this host stood still.
+	DropStale
 	numCounts
 )
 
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale",
 	}[c]
 }
 
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -20,12 +20,6 @@
 	unwillingTime = 2 * time.Second
 	// maxUnreachable bounds the targets that a report names.
 	maxUnreachable = 32
-	// pausedGap is a gap between two ticks that shows that the process stood
-	// still; ticks come every 50 ms.
-	pausedGap = 200 * time.Millisecond
-	// pauseDistrust is how long after a pause nothing is concluded from silence:
-	// longer than a liveness check and a caller's first repeat.
-	pauseDistrust = 600 * time.Millisecond
 )
 
 // health is what a host concludes of a target from its flows.
@@ -64,22 +58,6 @@
 	s.log(event, append(fields, t.health.fields(s.now)...)...)
 }
 
-// pause notices that the process stood still.
-type pause struct {
-	lastTick timekeeper.Instant
-	// trustDeadline is until when silence means nothing.
-	trustDeadline timekeeper.Instant
-}
-
-// notePause keeps a host that stood still from blaming targets: their answers
-// were there, it only did not look.
-func (s *Steerer) notePause() {
-	if gap := s.now.Since(s.pause.lastTick); gap > pausedGap {
-		s.pause.trustDeadline = s.now.Add(pauseDistrust)
-		s.log("paused", field("gapMillis", millis(gap)))
-	}
-	s.pause.lastTick = s.now
-}
 
 // trusts reports whether silence means anything at present.
 func (s *Steerer) trusts() bool {
--- /dev/null
+++ b/core/steerer/pause.go
@@ -0,0 +1,63 @@
+package steerer
+
+import (
+	"time"
+
+	"cranberryspan.dev/core/timekeeper"
+)
+
+const (
+	// pausedGap is a gap between two ticks that shows that the process stood
+	// still; ticks come every 50 ms.
+	pausedGap = 200 * time.Millisecond
+	// pauseDistrust is how long after a pause nothing is concluded from silence:
+	// longer than a liveness check and a caller's first repeat.
+	pauseDistrust = 600 * time.Millisecond
+	// staleGap is a pause after which most of what waits in the host's socket is of no
+	// use: callers repeat theirs after 0.2 to 1.6 s and open a flow anew after 1.4 s.
+	staleGap = 2 * time.Second
+	// staleSpan is how long after such a pause packets are taken for old: the time in
+	// which a host reads what waits, some thousand packets. A caller whose packet was
+	// fresh repeats it after 200 ms, so a longer span costs more than it saves.
+	staleSpan = 20 * time.Millisecond
+)
+
+// pause notices that the process stood still.
+type pause struct {
+	lastTick timekeeper.Instant
+	// trustDeadline is until when silence means nothing, staleDeadline until when
+	// packets are taken for old.
+	trustDeadline timekeeper.Instant
+	staleDeadline timekeeper.Instant
+}
+
+// notePause keeps a host that stood still from blaming targets: their answers
+// were there, it only did not look.
+func (s *Steerer) notePause() {
+	if gap := s.now.Since(s.pause.lastTick); gap > pausedGap {
+		if gap > staleGap {
+			s.pause.staleDeadline = s.now.Add(staleSpan)
+		}
+		s.pause.trustDeadline = s.now.Add(pauseDistrust)
+		s.log("paused", field("gapMillis", millis(gap)))
+	}
+	s.pause.lastTick = s.now
+}
+
+// stale reports whether packets are likely to have waited in the host's socket while it
+// stood still.
+//
+// What goes wrong if they are passed on: a host stands still for some seconds and wakes.
+// Its callers have been served by others meanwhile, or have given up. All that they
+// asked of it reaches the targets in one moment, and takes their slots for answers that
+// nobody waits for. One notices by targets that are full just after a host wakes, and by
+// requests that they run after their callers' deadlines. What a caller still waits for
+// it repeats.
+func (s *Steerer) stale() bool {
+	return s.now.Since(s.pause.lastTick) > staleGap || !s.pause.staleDeadline.Passed(s.now)
+}
+
+func (s *Steerer) dropStale(p *Packet) {
+	s.counts.add(DropStale)
+	s.log("packetDropped", field("flow", p.Caller.String()), field("reason", "stale"))
+}
--- /dev/null
+++ b/core/steerer/pause_test.go
@@ -0,0 +1,38 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+// Symptom: targets are full just after a host wakes, and run requests whose callers have
+// given up. Sequence: a host stands still for 4 s while packets come; it wakes and reads
+// them all. Cause: nothing tells old packets from new ones.
+func TestHostThatStoodStillPassesNothingOldOn(t *testing.T) {
+	f := newFleet(t, 1)
+	f.now = f.now.Add(4 * time.Second)
+	old := f.caller(1, checkRoute)
+	old.open("a1", 0)
+	require.Empty(t, old.target, "read before the host knows that it stood still")
+	f.reduce("a1", &steerer.Tick{})
+	old.open("a1", 1)
+	require.Empty(t, old.target, "read right after")
+	require.Equal(t, uint64(2), f.hosts["a1"].steerer.Snapshot().Counts[steerer.DropStale])
+	f.step(steerer.TickEvery)
+	fresh := f.caller(2, checkRoute)
+	fresh.open("a1", 0)
+	require.NotEmpty(t, fresh.target)
+}
+
+// Symptom: callers have to repeat what they asked. Sequence: a host stands still for half
+// a second. Cause: a short pause is taken for a long one, though what came is still of use.
+func TestShortPauseLosesNothing(t *testing.T) {
+	f := newFleet(t, 1)
+	f.now = f.now.Add(500 * time.Millisecond)
+	c := f.caller(1, checkRoute)
+	c.open("a1", 0)
+	require.NotEmpty(t, c.target)
+}
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -5,6 +5,10 @@
 const windowBytes = 16 * 1200
 
 func (s *Steerer) callerPacket(p *Packet) {
+	if s.stale() {
+		s.dropStale(p)
+		return
+	}
 	s.leaving.lastPacket = s.now
 	s.noteBytes(len(p.Data)+packetOverhead, 0)
 	if !s.knows() {
