Soak: targets that start again under their ID, entries of other programs, overload

The stand-in store writes born and entries that name no target, targets start again with nothing of before and can be made slow, routes have objectives.

--- a/standin/internal/answerer/answerer.go
+++ b/standin/internal/answerer/answerer.go
@@ -107,7 +107,9 @@
 	mu    sync.Mutex
 	flows map[flowKey]*flow
 	// dark targets take nothing in and send nothing.
-	dark          bool
+	dark bool
+	// lives counts the target's starts.
+	lives         int
 	drainingSince time.Time
 	calm          func() bool
 	work          chan job
@@ -126,6 +128,8 @@
 type job struct {
 	f  *flow
 	id string
+	// life is the target's life in which the request came.
+	life int
 }
 
 // New starts a target. calm tells whether nothing keeps news from hosts.
@@ -190,6 +194,25 @@
 	return !t.dark
 }
 
+// Restart lets the target start again under its ID: it holds none of its flows, and
+// what it was at work on is lost.
+func (t *Target) Restart() platformtest.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.flows)
+	t.config.Entry.Born = time.Now().UnixMilli()
+	t.config.Entry.Draining = false
+	t.lives++
+	return t.config.Entry
+}
+
+// SetWork changes how long a request takes.
+func (t *Target) SetWork(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.config.Work = d
+}
+
 // Drain notes that the target has said that it drains.
 func (t *Target) Drain() platformtest.Target {
 	t.mu.Lock()
@@ -277,7 +300,7 @@
 		return
 	}
 	select {
-	case t.work <- job{f: f, id: id}:
+	case t.work <- job{f: f, id: id, life: t.lives}:
 	default:
 		f.end.Write([]byte(id+" shed 0\n"), time.Now())
 	}
@@ -315,6 +338,12 @@
 }
 
 func (t *Target) runOne(ctx context.Context, j job) {
+	t.mu.Lock()
+	work, lost := t.config.Work, j.life != t.lives
+	t.mu.Unlock()
+	if lost {
+		return
+	}
 	t.record.mu.Lock()
 	t.record.runs[j.id]++
 	t.record.mu.Unlock()
@@ -324,11 +353,11 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-time.After(t.config.Work):
+	case <-time.After(work):
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.dark {
+	if t.dark || j.life != t.lives {
 		return
 	}
 	word := "ok"
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"syscall"
@@ -42,6 +43,9 @@
 	{"storeLoses", false, loseAnswers},
 	{"flapTarget", true, flapTarget},
 	{"killAll", false, killAll},
+	{"restartTarget", true, restartTarget},
+	{"foreignEntry", true, foreignEntry},
+	{"overload", true, overload},
 }
 
 func (s *soak) host() *process { return s.fleet.hosts[s.pick(len(s.fleet.hosts))] }
@@ -288,3 +292,58 @@
 	}
 	return down.String()
 }
+
+// restartTarget lets a target crash and start again under its ID, at its address, up to
+// three times.
+func restartTarget(ctx context.Context, s *soak) string {
+	t := s.target()
+	turns := 1 + s.pick(3)
+	for range turns {
+		s.fleet.store.Put(t.Restart())
+		wait(ctx, s.span(2*time.Second))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = append(s.targets, t)
+	return fmt.Sprintf("%s %d times", t.Entry().ID, turns)
+}
+
+// foreignValues are values of entries that name no target.
+var foreignValues = []string{`"not base64!"`, `17`, `null`, `""`, `"e30="`, `"W10="`}
+
+// foreignEntry has another program write an entry, over that of a target by turns.
+func foreignEntry(ctx context.Context, s *soak) string {
+	id := "readme"
+	if s.pick(2) > 0 {
+		t := s.target()
+		id = t.Entry().ID
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.targets = append(s.targets, t)
+		}()
+	}
+	value := foreignValues[s.pick(len(foreignValues))]
+	s.fleet.store.WriteForeign(id, json.RawMessage(value))
+	wait(ctx, s.span(3*time.Second))
+	s.fleet.store.WriteForeign(id, nil)
+	return fmt.Sprintf("%s of %s", value, id)
+}
+
+// overload lets every target take twenty times as long, so that more is asked of them
+// than they can do.
+func overload(ctx context.Context, s *soak) string {
+	span := s.span(4 * time.Second)
+	s.setWork(20 * workTime)
+	wait(ctx, span)
+	s.setWork(workTime)
+	return span.String()
+}
+
+func (s *soak) setWork(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.started {
+		t.SetWork(d)
+	}
+}
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -35,6 +35,8 @@
 	// workTime is how long a target takes for a request.
 	workTime = 15 * time.Millisecond
 	slots    = 3
+	// objective is the latency that callers hope for.
+	objective = 100 * time.Millisecond
 )
 
 // Config says what a run is like.
@@ -246,8 +248,8 @@
 
 func (s *soak) routes() []platformtest.Route {
 	routes := []platformtest.Route{
-		{Name: "read", Address: readRoute, Service: ledger, Kind: "idempotent", Timeout: 2500 * time.Millisecond},
-		{Name: "check", Address: checkRoute, Service: ledger, Kind: "non_idempotent", Timeout: 3 * time.Second},
+		{Name: "read", Address: readRoute, Service: ledger, Kind: "idempotent", Timeout: 2500 * time.Millisecond, Objective: objective},
+		{Name: "check", Address: checkRoute, Service: ledger, Kind: "non_idempotent", Timeout: 3 * time.Second, Objective: objective},
 		{Name: "upload", Address: uploadRoute, Service: intake, Kind: "upload", Timeout: 5 * time.Second},
 	}
 	if s.optional {
--- a/standin/soak_test.go
+++ b/standin/soak_test.go
@@ -82,3 +82,14 @@
 	t.Parallel()
 	soakOnce(t, soaker.Config{Seed: 5, Block: 68, Duration: 6 * time.Second, Only: []string{"terminateTwice"}, Gap: 3 * time.Second, NoFailures: true})
 }
+
+// Symptom: targets that serve are avoided, or callers are cut, after a restart under the
+// same ID, beside entries that name no target, or while all targets are slow. Sequence:
+// all of these come in series and overlap.
+func TestRestartsForeignEntriesAndOverloadBreakNothing(t *testing.T) {
+	t.Parallel()
+	soakOnce(t, soaker.Config{
+		Seed: 6, Block: 69, Zones: []int{2, 2}, Duration: 8 * time.Second, Gap: 900 * time.Millisecond, Later: true,
+		Only: []string{"restartTarget", "foreignEntry", "overload"},
+	})
+}
