--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -58,7 +58,6 @@
 	s.log(event, append(fields, t.health.fields(s.now)...)...)
 }
 
-
 // trusts reports whether silence means anything at present.
 func (s *Steerer) trusts() bool {
 	return s.pause.trustDeadline.Passed(s.now) && !s.path.slow(s.now) && s.now.Since(s.pause.lastTick) <= pausedGap
