--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -5,7 +5,7 @@
 const windowBytes = 16 * 1200
 
 func (s *Steerer) callerPacket(p *Packet) {
-	if s.stale() {
+	if s.stale(p) {
 		s.dropStale(p)
 		return
 	}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -153,7 +153,7 @@
 without "resets of what waits for a removed route" steerer/pacing.go 'if s.removed[r.key.service] {' 'if false {' TestPacedRequestOfARemovedRouteIsReset
 without "the end of counts nobody else ends" steerer/pacing.go 'f.waitingSince == check.since {' 'false {' TestUnseenResetsDoNotHoldUpOthers
 without "refusals that are no failures" steerer/quickness.go 'u.tooQuick(took) && !pressed' 'u.tooQuick(took)' TestRefusalsOfAPressedServiceAreNoFailures
-without "distrust of what waited during a pause" steerer/steering.go 'if s.stale() {' 'if false {' TestHostThatStoodStillPassesNothingOldOn
+without "distrust of what waited during a pause" steerer/steering.go 'if s.stale(p) {' 'if false {' TestHostThatStoodStillPassesNothingOldOn
 without "distrust of load after a pause" steerer/pacing.go '|| !s.pause.trustDeadline.Passed(s.now) {' '{' TestPausedHostDoesNotTakeItsOwnDelayForLoad
 
 package=pacer
