--- a/core/pacer/line.go
+++ b/core/pacer/line.go
@@ -25,7 +25,6 @@
 	Payload T
 	// Priority is that of the route; 0 goes first.
 	Priority int
-	Arrived  timekeeper.Instant
 	// aimDeadline is until when the request has to be passed on to be in time,
 	// turnDeadline when it goes before all others, lastDeadline when it is passed on
 	// whatever the load.
@@ -47,7 +46,6 @@
 	return Request[T]{
 		Payload:      payload,
 		Priority:     limits.Priority,
-		Arrived:      now,
 		aimDeadline:  now.Add(limits.Objective - answerAllowance*limits.Usual),
 		turnDeadline: now.Add(time.Duration(turnShare * float64(limits.Timeout))),
 		lastDeadline: now.Add(time.Duration(lastShare * float64(limits.Timeout))),
