--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -32,8 +32,6 @@
 	// Busy counts the sender's requests under way by the target's tag. Only hosts
 	// of its availability zone are told.
 	Busy map[uint32]uint16 `cbor:"busy,omitempty"`
-	// Unreachable names, by tag, the targets that did not answer the sender.
-	Unreachable []uint32 `cbor:"unr,omitempty"`
 	// Quick names, by tag, the targets that answered the sender more quickly than
 	// they can work.
 	Quick []uint32 `cbor:"quick,omitempty"`
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -75,7 +75,7 @@
 	switch {
 	case t.health.unreachable():
 		load += unreachableLoad
-	case t.health.suspect || !t.health.unwillingDeadline.Passed(s.now):
+	case t.health.suspect:
 		load += suspectLoad
 	}
 	return load + tieSpread*tie(hash, t)
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -15,11 +15,6 @@
 	probeEvery = time.Second
 	// reprobeEvery is the pause between checks of a target that did not answer.
 	reprobeEvery = 2 * time.Second
-	// unwillingTime is how long a target that answered that it wants no work gets
-	// none. By then the platform has told what it is up to.
-	unwillingTime = 2 * time.Second
-	// maxUnreachable bounds the targets that a report names.
-	maxUnreachable = 32
 )
 
 // health is what a host concludes of a target from its flows.
@@ -36,8 +31,6 @@
 	// silentSince is when a check got no answer; 0 while the target is reachable.
 	silentSince timekeeper.Instant
 	outcome     ProbeOutcome
-	// unwillingDeadline is until when the target gets no new flows.
-	unwillingDeadline timekeeper.Instant
 }
 
 func (h *health) unreachable() bool { return h.silentSince != 0 }
@@ -114,9 +107,6 @@
 	case ProbeHealthy, ProbeUnwilling, ProbeBusy:
 		h.suspect = false
 		h.silentSince = 0
-		if e.Outcome == ProbeUnwilling {
-			h.unwillingDeadline = s.now.Add(unwillingTime)
-		}
 	case ProbeSilent, ProbeRefused, ProbeOther:
 		s.noteSilence(t, e)
 	}
@@ -140,59 +130,10 @@
 	}
 	if !h.unreachable() {
 		h.silentSince = s.now
-		s.peers.news = true
 		s.logTarget("targetUnreachable", t)
 	}
 	h.probeDeadline = s.now.Add(reprobeEvery)
 	s.resetWaiting(t)
-	s.checkNeighbours(t)
-}
-
-// checkNeighbours checks the other targets of an unreachable target's zone that
-// hold flows of this host.
-//
-// What goes wrong otherwise: when a zone is cut off, each of its targets is noticed
-// only after one of its own callers has repeated itself in vain, and every one of
-// them loses a request.
-func (s *Steerer) checkNeighbours(t *target) {
-	if t.AvailabilityZone == s.config.AvailabilityZone {
-		return
-	}
-	for _, other := range s.targets.ordered() {
-		if other.AvailabilityZone == t.AvailabilityZone {
-			s.checkIfUsed(other)
-		}
-	}
-}
-
-// checkIfUsed checks a target that holds flows of this host and has shown no life
-// of late.
-func (s *Steerer) checkIfUsed(t *target) {
-	if t.flows > 0 && !t.missing && s.now.Since(t.health.lastProgress) >= freshProgress && s.trusts() {
-		s.probe(t)
-	}
-}
-
-// takeUnreachable takes in which targets did not answer another host of the zone.
-// It is no proof: the other's link may be the one that broke. So the targets are
-// checked, before callers have to notice.
-func (s *Steerer) takeUnreachable(from *peer, tags []uint32) {
-	for _, tag := range tags {
-		if t, ok := s.told(from, tag); ok && !t.health.unreachable() {
-			s.checkIfUsed(t)
-		}
-	}
-}
-
-// unreachable lists the targets that did not answer this host.
-func (s *Steerer) unreachable() []uint32 {
-	var tags []uint32
-	for _, t := range s.targets.ordered() {
-		if t.health.unreachable() && !t.missing {
-			tags = append(tags, uint32(t.tag))
-		}
-	}
-	return tags[:min(len(tags), maxUnreachable)]
 }
 
 // resetWaiting resets the flows that wait for a silent target and may run again.
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -47,8 +47,6 @@
 		return "suspected, last sign of life " + ageText(s.now, t.health.lastProgress) + " ms ago"
 	case s.failsWork(t):
 		return "answers more quickly than it can work"
-	case !t.health.unwillingDeadline.Passed(s.now):
-		return "wants no work, says its liveness check"
 	case !t.warmUpDeadline.Passed(s.now):
 		return "slow for " + millis(t.warmUpDeadline.Until(s.now)) + " ms more after its start"
 	}
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -34,7 +34,6 @@
 	p.revision = r.TargetsRevision
 	p.digest = r.TargetsDigest
 	s.takeBusy(p, r.Busy)
-	s.takeUnreachable(p, r.Unreachable)
 	s.takeQuick(p, r.Quick)
 	for _, hint := range r.Hosts {
 		if hint.Name != s.config.Self {
@@ -225,7 +224,6 @@
 	s.peers.changeTurn += maxChanges
 	if to.zone == s.config.AvailabilityZone {
 		r.Busy = s.busy()
-		r.Unreachable = s.unreachable()
 		r.Quick = s.quickTargets()
 	}
 	return r
