--- a/core/steerer/foreign.go
+++ b/core/steerer/foreign.go
@@ -22,7 +22,7 @@
 			s.log("targetMalformed", field("target", entry.ID), field("error", entry.Err.Error()),
 				field("known", btoa(known)), field("revision", utoa(revision)))
 		}
-		if known && t.seen < revision {
+		if known && !t.unreadable && t.seen < revision {
 			t.unreadable = true
 			s.takeMissing(t, revision, "platform")
 		}
--- a/core/steerer/foreign_test.go
+++ b/core/steerer/foreign_test.go
@@ -71,6 +71,12 @@
 	f.step(5 * time.Second)
 	require.Equal(t, 3, logged(f, "a1", "targetMalformed"))
 	require.Equal(t, uint64(3), f.hosts["a1"].steerer.Snapshot().Counts[steerer.TargetMalformed])
+	f.spoil(reborn)
+	for range 5 {
+		f.revision++ // Other entries change.
+		f.step(1300 * time.Millisecond)
+	}
+	require.Equal(t, 1, logged(f, "a1", "targetMissing"))
 }
 
 // Symptom: packets of one flow reach two targets. Sequence: another writer's entry has an
