--- a/core/steerer/fuzz_test.go
+++ b/core/steerer/fuzz_test.go
@@ -170,8 +170,7 @@
 }
 
 // sendChecked sends a packet of a flow and checks that each packet that the host passes on
-// reaches its own target
-// or nobody.
+// reaches its own target or nobody.
 func (m *machine) sendChecked(t *rapid.T, name string, send func(string)) {
 	before := len(m.f.hosts[name].sent)
 	send(name)
