After a reading of the change: one piece where two did the same

- Package pacer's Line shows what goes next and takes it out in one call, in place of Take, TakeOverdue, Has, First and Drop, which looked a request up twice and removed it twice; requests are made where they are added.
- Checks of flows that opened and of requests under way are one kind of queue.
- Whether a target fails its work is asked in one place, pressed services included; before, operators were told that new flows avoid a target where they did not.
This is the only difference: a word in the status of targets.
Assertions as they were.

--- a/core/pacer/crowd_test.go
+++ b/core/pacer/crowd_test.go
@@ -146,7 +146,7 @@
 	h, j := s.hosts[host], &job{kind: k, host: host, target: target, arrived: s.now}
 	waits := h.load.Pressed() && (h.lines[target].Len() > 0 || !h.load.Room(h.underWay))
 	if s.paced && k.held && waits {
-		h.lines[target].Add(pacer.NewRequest(j, s.now, pacer.Limits{Usual: k.work, Objective: k.objective, Timeout: k.timeout}))
+		h.lines[target].Add(j, s.now, pacer.Limits{Usual: k.work, Objective: k.objective, Timeout: k.timeout})
 		return
 	}
 	s.pass(j)
@@ -204,10 +204,9 @@
 	for {
 		passed := false
 		for i := range h.lines {
-			spare := h.busy[i] < 1
-			if h.load.Room(h.underWay) && h.lines[i].Has(s.now, spare) {
-				r, _ := h.lines[i].Take(s.now, spare)
-				s.pass(r.Payload)
+			if j, ok := h.lines[i].Next(s.now, h.busy[i] < 1); ok && h.load.Room(h.underWay) {
+				h.lines[i].Remove(j)
+				s.pass(j)
 				passed = true
 			}
 		}
@@ -220,8 +219,9 @@
 func (s *site) tick() {
 	for _, h := range s.hosts {
 		for i := range h.lines {
-			for r, due := h.lines[i].TakeOverdue(s.now); due; r, due = h.lines[i].TakeOverdue(s.now) {
-				s.pass(r.Payload)
+			for j, due := h.lines[i].Overdue(s.now); due; j, due = h.lines[i].Overdue(s.now) {
+				h.lines[i].Remove(j)
+				s.pass(j)
 			}
 		}
 		s.passOn(h)
--- a/core/pacer/line.go
+++ b/core/pacer/line.go
@@ -20,11 +20,11 @@
 	answerAllowance = 2
 )
 
-// Request is a request that waits. T is what its owner needs to pass it on.
-type Request[T any] struct {
-	Payload T
-	// Priority is that of the route; 0 goes first.
-	Priority int
+// request is a request that waits. Its payload is what its owner needs to pass it on.
+type request[T comparable] struct {
+	payload T
+	// priority is that of the route; 0 goes first.
+	priority int
 	// aimDeadline is until when the request has to be passed on to be in time,
 	// turnDeadline when it goes before all others, lastDeadline when it is passed on
 	// whatever the load.
@@ -41,79 +41,66 @@
 	Priority  int
 }
 
-// NewRequest makes a request that begins to wait now.
-func NewRequest[T any](payload T, now timekeeper.Instant, limits Limits) Request[T] {
-	return Request[T]{
-		Payload:      payload,
-		Priority:     limits.Priority,
-		aimDeadline:  now.Add(limits.Objective - answerAllowance*limits.Usual),
-		turnDeadline: now.Add(time.Duration(turnShare * float64(limits.Timeout))),
-		lastDeadline: now.Add(time.Duration(lastShare * float64(limits.Timeout))),
-	}
-}
-
 // Line holds the requests that wait for one target, in the order in which they came.
 // The zero Line is empty.
-type Line[T any] struct {
-	waiting []Request[T]
+type Line[T comparable] struct {
+	waiting []request[T]
 }
 
 // Len is how many requests wait.
 func (l *Line[T]) Len() int { return len(l.waiting) }
 
-// Add lets a request wait.
-func (l *Line[T]) Add(r Request[T]) { l.waiting = append(l.waiting, r) }
+// Add lets a request wait from now on.
+func (l *Line[T]) Add(payload T, now timekeeper.Instant, limits Limits) {
+	l.waiting = append(l.waiting, request[T]{
+		payload:      payload,
+		priority:     limits.Priority,
+		aimDeadline:  now.Add(limits.Objective - answerAllowance*limits.Usual),
+		turnDeadline: now.Add(time.Duration(turnShare * float64(limits.Timeout))),
+		lastDeadline: now.Add(time.Duration(lastShare * float64(limits.Timeout))),
+	})
+}
+
+// Remove takes a request out.
+func (l *Line[T]) Remove(payload T) {
+	l.waiting = slices.DeleteFunc(l.waiting, func(r request[T]) bool { return r.payload == payload })
+}
+
+// First is the request that has waited longest; false if none waits.
+func (l *Line[T]) First() (T, bool) { return l.at(min(len(l.waiting), 1) - 1) }
 
-// Take takes out the request that goes next: the oldest whose turn has come, else of
+// Next is the request that goes next: the oldest whose turn has come, else of
 // those that can be in time one of the highest priority, the oldest first. One that
 // will be late goes only if the target has slots to spare: it would take the place of
 // another that comes in a moment and can be in time.
-func (l *Line[T]) Take(now timekeeper.Instant, spare bool) (Request[T], bool) {
-	at := l.next(now, spare)
-	if at < 0 {
-		return Request[T]{}, false
-	}
-	r := l.waiting[at]
-	l.waiting = slices.Delete(l.waiting, at, at+1)
-	return r, true
-}
-
-// Has reports whether Take would find a request.
-func (l *Line[T]) Has(now timekeeper.Instant, spare bool) bool { return l.next(now, spare) >= 0 }
-
-func (l *Line[T]) next(now timekeeper.Instant, spare bool) int {
+func (l *Line[T]) Next(now timekeeper.Instant, spare bool) (T, bool) {
 	best := -1
 	for i := range l.waiting {
 		r := &l.waiting[i]
 		if r.turnDeadline.Passed(now) {
-			return i
+			return r.payload, true
 		}
 		inTime := !r.aimDeadline.Passed(now)
-		if inTime && (best < 0 || r.Priority < l.waiting[best].Priority) {
+		if inTime && (best < 0 || r.priority < l.waiting[best].priority) {
 			best = i
 		}
 	}
-	if best < 0 && spare && len(l.waiting) > 0 {
-		return 0
+	if best < 0 && spare {
+		return l.First()
 	}
-	return best
+	return l.at(best)
 }
 
-// TakeOverdue takes out a request that may wait no longer.
-func (l *Line[T]) TakeOverdue(now timekeeper.Instant) (Request[T], bool) {
-	at := slices.IndexFunc(l.waiting, func(r Request[T]) bool { return r.lastDeadline.Passed(now) })
-	if at < 0 {
-		return Request[T]{}, false
-	}
-	r := l.waiting[at]
-	l.waiting = slices.Delete(l.waiting, at, at+1)
-	return r, true
+// Overdue is a request that may wait no longer.
+func (l *Line[T]) Overdue(now timekeeper.Instant) (T, bool) {
+	return l.at(slices.IndexFunc(l.waiting, func(r request[T]) bool { return r.lastDeadline.Passed(now) }))
 }
 
-// First is the request that has waited longest.
-func (l *Line[T]) First() Request[T] { return l.waiting[0] }
-
-// Drop takes a request out that is not to be passed on.
-func (l *Line[T]) Drop(is func(payload T) bool) {
-	l.waiting = slices.DeleteFunc(l.waiting, func(r Request[T]) bool { return is(r.Payload) })
+// at is the request at an index; false if that is below zero.
+func (l *Line[T]) at(i int) (T, bool) {
+	if i < 0 {
+		var none T
+		return none, false
+	}
+	return l.waiting[i].payload, true
 }
--- a/core/pacer/line_test.go
+++ b/core/pacer/line_test.go
@@ -19,19 +19,22 @@
 func lineOf(names ...string) *pacer.Line[string] {
 	l := &pacer.Line[string]{}
 	for i, name := range names {
-		l.Add(pacer.NewRequest(name, at(time.Duration(i)*10*millis), limits))
+		l.Add(name, at(time.Duration(i)*10*millis), limits)
 	}
 	return l
 }
 
 func take(t *testing.T, l *pacer.Line[string], now timekeeper.Instant, spare bool) string {
 	t.Helper()
-	require.Equal(t, l.Has(now, spare), l.Len() > 0 && l.Has(now, spare))
-	r, ok := l.Take(now, spare)
+	before := l.Len()
+	name, ok := l.Next(now, spare)
 	if !ok {
 		return ""
 	}
-	return r.Payload
+	require.Positive(t, before)
+	l.Remove(name)
+	require.Equal(t, before-1, l.Len())
+	return name
 }
 
 func TestOldestThatCanBeInTimeGoesFirst(t *testing.T) {
@@ -45,7 +48,7 @@
 // chances.
 func TestRequestThatWillBeLateLeavesItsPlaceToOthers(t *testing.T) {
 	l := lineOf("a", "b")
-	l.Add(pacer.NewRequest("fresh", at(200*millis), limits))
+	l.Add("fresh", at(200*millis), limits)
 	require.Equal(t, "fresh", take(t, l, at(201*millis), true))
 	require.Empty(t, take(t, l, at(202*millis), false), "a slot to spare is needed for the others")
 	require.Equal(t, "a", take(t, l, at(203*millis), true))
@@ -55,7 +58,7 @@
 	l := lineOf("a")
 	urgent := limits
 	urgent.Priority = 1
-	l.Add(pacer.NewRequest("urgent", at(5*millis), urgent))
+	l.Add("urgent", at(5*millis), urgent)
 	require.Equal(t, "urgent", take(t, l, at(10*millis), false))
 }
 
@@ -63,21 +66,24 @@
 // end. Cause: those that will be late never get their turn.
 func TestWaitIsBounded(t *testing.T) {
 	l := lineOf("old")
-	l.Add(pacer.NewRequest("fresh", at(750*millis), limits))
+	l.Add("fresh", at(750*millis), limits)
 	require.Equal(t, "old", take(t, l, at(751*millis), false), "after 0.35 of the time it goes before all others")
 	l = lineOf("old")
-	_, due := l.TakeOverdue(at(899 * millis))
+	_, due := l.Overdue(at(899 * millis))
 	require.False(t, due)
-	r, due := l.TakeOverdue(at(900 * millis))
+	name, due := l.Overdue(at(900 * millis))
 	require.True(t, due, "after 0.45 of the time it goes without room")
-	require.Equal(t, "old", r.Payload)
+	require.Equal(t, "old", name)
+	l.Remove(name)
 	require.Zero(t, l.Len())
 }
 
-func TestDroppedRequestIsGone(t *testing.T) {
+func TestRemovedRequestIsGone(t *testing.T) {
 	l := lineOf("a", "b")
-	l.Drop(func(name string) bool { return name == "a" })
-	require.Equal(t, "b", l.First().Payload)
+	l.Remove("a")
+	first, waits := l.First()
+	require.True(t, waits)
+	require.Equal(t, "b", first)
 }
 
 func ExampleLoad() {
@@ -124,12 +130,13 @@
 
 // BenchmarkTake takes from a line as deep as a crowd has made one.
 func BenchmarkTake(b *testing.B) {
-	l := lineOf()
-	for range 64 {
-		l.Add(pacer.NewRequest("x", start, limits))
+	l := &pacer.Line[int]{}
+	for n := range 64 {
+		l.Add(n, start, limits)
 	}
 	for b.Loop() {
-		r, _ := l.Take(start, true)
-		l.Add(r)
+		n, _ := l.Next(start, true)
+		l.Remove(n)
+		l.Add(n, start, limits)
 	}
 }
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -59,14 +59,14 @@
 // all, and callers are sent there again and again until it is found out.
 func (s *Steerer) load(t *target, hash uint64) float64 {
 	idle := max(t.flows-t.busy-t.opening, 0)
-	load := (float64(t.busy+t.opening+t.peersBusy) + openFlowLoad*float64(idle)) / float64(max(t.Slots, 1))
+	load := (float64(t.underWay()) + openFlowLoad*float64(idle)) / float64(max(t.Slots, 1))
 	if s.full() {
 		load = 0 // New flows would not be counted, and all go to the least busy.
 	}
 	if !t.warmUpDeadline.Passed(s.now) {
 		load = (load + 1/float64(max(t.Slots, 1))) * warmingLoad
 	}
-	if s.failsWork(t) && !s.pressed(t.Service) {
+	if s.failsWork(t) {
 		load += quickLoad
 	}
 	if t.AvailabilityZone != s.config.AvailabilityZone {
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -56,12 +56,33 @@
 	closed   bool
 }
 
-// openingCheck asks at its deadline whether a flow has opened.
-type openingCheck struct {
+// flowCheck looks at a flow again at a deadline, because of something that began at a
+// moment.
+type flowCheck struct {
 	key      flowKey
+	since    timekeeper.Instant
 	deadline timekeeper.Instant
 }
 
+// flowChecks are checks in the order in which they were added. One whose deadline is
+// earlier than that of one before it waits for that.
+type flowChecks []flowCheck
+
+func (c *flowChecks) add(check flowCheck) { *c = append(*c, check) }
+
+// eachDue takes out the checks that are due and calls do with each.
+func (c *flowChecks) eachDue(now timekeeper.Instant, do func(flowCheck)) {
+	done := 0
+	for _, check := range *c {
+		if !check.deadline.Passed(now) {
+			break
+		}
+		done++
+		do(check)
+	}
+	*c = (*c)[:copy(*c, (*c)[done:])]
+}
+
 // remember keeps a flow, unless there are too many. Nothing may be counted for a
 // flow that is not kept: nobody would take it back.
 func (s *Steerer) remember(key flowKey, f *flow) bool {
@@ -105,20 +126,14 @@
 // straight to the caller, so no copy ever shows it. One notices only that the
 // flow neither opened nor was repeated.
 func (s *Steerer) checkOpenings() {
-	done := 0
-	for _, check := range s.opening {
-		if !check.deadline.Passed(s.now) {
-			break
-		}
-		done++
+	s.opening.eachDue(s.now, func(check flowCheck) {
 		f := s.flows[check.key]
 		if f == nil || f.opened || f.lastPacket != f.openedAt {
-			continue
+			return
 		}
 		s.noteStall(f.target, "openingRefused")
 		s.forget(check.key, f)
-	}
-	s.opening = s.opening[:copy(s.opening, s.opening[done:])]
+	})
 }
 
 func (s *Steerer) expireFlows() {
--- a/core/steerer/life_test.go
+++ b/core/steerer/life_test.go
@@ -14,18 +14,9 @@
 
 // waitAt opens a flow at a target and asks for something.
 func waitAt(f *fleet, name, target string, from int) *caller {
-	for n := from; n < from+200; n++ {
-		c := f.caller(n, readRoute)
-		c.open(name, 0)
-		c.establish(name)
-		if c.target == target {
-			c.ask(name)
-			return c
-		}
-		c.finish(name)
-	}
-	f.t.Fatalf("no flow landed on %s", target)
-	return nil
+	c := openOn(f, name, target, from, true)
+	c.ask(name)
+	return c
 }
 
 func statusOf(f *fleet, name, target string) steerer.TargetStatus {
@@ -79,12 +70,7 @@
 func TestRequestThatWaitsIsRepeatedToTheNewLife(t *testing.T) {
 	f := newFleet(t, 1)
 	c := waitAt(f, "a1", reborn, 100)
-	check := f.caller(900, checkRoute)
-	for n := 900; check.target != reborn; n++ {
-		check = f.caller(n, checkRoute)
-		check.open("a1", 0)
-		check.establish("a1")
-	}
+	check := openOn(f, "a1", reborn, 900, false)
 	check.ask("a1")
 	sentBefore := len(f.hosts["a1"].sent)
 	f.restart(reborn)
@@ -199,11 +185,7 @@
 // target starts again under its ID in another service. Cause: the end of the wait is
 // counted for the new service, so that one seems to wait at the old one for good.
 func TestTargetThatStartsAgainElsewhereLeavesNoWait(t *testing.T) {
-	f := pressedHost(t)
-	c := feed(f, 1)
-	fillWindow(f, 100)
-	c.ask("a1")
-	require.Equal(t, 1, paced(f))
+	f, c, _ := waitingFeed(t)
 	target := f.targets[c.target]
 	target.Service = "intake"
 	f.targets[c.target] = target
--- a/core/steerer/load.go
+++ b/core/steerer/load.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cranberryspan.dev/core/pacer"
-	"cranberryspan.dev/core/timekeeper"
 )
 
 const (
@@ -32,13 +31,6 @@
 	lines []*target
 }
 
-// underWayCheck ends the count of a request whose answer nobody has seen.
-type underWayCheck struct {
-	key      flowKey
-	since    timekeeper.Instant
-	deadline timekeeper.Instant
-}
-
 func (s *Steerer) service(name string) *service {
 	v, ok := s.services[name]
 	if !ok {
@@ -54,16 +46,17 @@
 	return ok && v.load.Pressed()
 }
 
-// beginRequest counts a request that is passed on.
-func (s *Steerer) beginRequest(key flowKey, f *flow) {
+// beginRequest counts a request that is passed on, first packet first.
+func (s *Steerer) beginRequest(key flowKey, f *flow, first []byte) {
 	s.setWaiting(f, true)
+	f.keepRequest(first)
 	span := unknownUnderWay
 	if u, ok := s.usual[f.route.Name]; ok && u.known() {
 		span = max(underWayUsuals*u.median, leastUnderWay)
 	}
 	f.underWay = s.service(f.target.Service)
 	f.underWay.underWay++
-	s.underWay = append(s.underWay, underWayCheck{key: key, since: s.now, deadline: s.now.Add(span)})
+	s.underWay.add(flowCheck{key: key, since: s.now, deadline: s.now.Add(span)})
 }
 
 // endUnderWay ends the count of a request.
@@ -76,17 +69,11 @@
 
 // checkUnderWay ends the count of requests whose answers nobody has seen.
 func (s *Steerer) checkUnderWay() {
-	done := 0
-	for _, check := range s.underWay {
-		if !check.deadline.Passed(s.now) {
-			break
-		}
-		done++
+	s.underWay.eachDue(s.now, func(check flowCheck) {
 		if f := s.flows[check.key]; f != nil && f.waiting && f.waitingSince == check.since {
 			f.endUnderWay()
 		}
-	}
-	s.underWay = s.underWay[:copy(s.underWay, s.underWay[done:])]
+	})
 }
 
 // learnLoad learns from an answer how pressed its service is. An answer that came
--- a/core/steerer/pacing.go
+++ b/core/steerer/pacing.go
@@ -55,7 +55,7 @@
 	if f.target.line.Len() == 0 {
 		v.lines = append(v.lines, f.target)
 	}
-	f.target.line.Add(pacer.NewRequest(f.paced, s.now, s.limits(f.route)))
+	f.target.line.Add(f.paced, s.now, s.limits(f.route))
 	v.paced++
 	s.paced++
 	s.counts.add(RequestPaced)
@@ -88,7 +88,7 @@
 	return true
 }
 
-// passPaced passes a request on that has left its target's line.
+// passPaced passes on a request that waits.
 func (s *Steerer) passPaced(r *pacedRequest, reason string) {
 	f := r.flow
 	s.unline(f)
@@ -101,8 +101,7 @@
 	s.log("requestPaced", field("flow", r.key.caller.String()), field("route", f.route.Name), field("target", f.target.ID),
 		field("heldMillis", millis(f.pacedFor)), field("reason", reason), field("underWay", itoa(r.service.underWay)),
 		field("window", fmt.Sprintf("%.1f", r.service.load.Window())), field("pressure", fmt.Sprintf("%.2f", r.service.load.Pressure())))
-	s.beginRequest(r.key, f)
-	f.keepRequest(r.packets[0])
+	s.beginRequest(r.key, f, r.packets[0])
 	for _, data := range r.packets {
 		s.sendTarget(f.target, 0, data)
 	}
@@ -118,7 +117,7 @@
 // unline takes a flow's request out of the line of its target.
 func (s *Steerer) unline(f *flow) {
 	r, t := f.paced, f.target
-	t.line.Drop(func(other *pacedRequest) bool { return other == r })
+	t.line.Remove(r)
 	f.paced = nil
 	r.service.paced--
 	s.paced--
@@ -129,8 +128,8 @@
 
 // passAllPaced passes on all that waits for a target.
 func (s *Steerer) passAllPaced(t *target, reason string) {
-	for t.line.Len() > 0 {
-		s.passPaced(t.line.First().Payload, reason)
+	for r, waits := t.line.First(); waits; r, waits = t.line.First() {
+		s.passPaced(r, reason)
 	}
 }
 
@@ -138,36 +137,36 @@
 // least busy targets first.
 func (s *Steerer) passOn(v *service) {
 	for v.paced > 0 && v.load.Room(v.underWay) {
-		t := s.nextLine(v)
-		if t == nil {
+		r := s.nextPaced(v)
+		if r == nil {
 			return
 		}
-		r, _ := t.line.Take(s.now, s.spare(t))
-		s.passPaced(r.Payload, "room")
+		s.passPaced(r, "room")
 	}
 }
 
-// nextLine picks the least busy of the targets for which a request may go now.
-func (s *Steerer) nextLine(v *service) *target {
-	var best *target
+// nextPaced picks the request that goes next: for the least busy of the targets for
+// which one may go now; nil if there is none.
+func (s *Steerer) nextPaced(v *service) *pacedRequest {
+	var best *pacedRequest
 	var least float64
 	for _, t := range v.lines {
 		load := t.underWayPerSlot()
-		if t.line.Has(s.now, s.spare(t)) && (best == nil || load < least) {
-			best, least = t, load
+		if best != nil && load >= least {
+			continue
+		}
+		if r, ok := t.line.Next(s.now, load < spareShare); ok {
+			best, least = r, load
 		}
 	}
 	return best
 }
 
-// underWayPerSlot is how many requests a target has, as far as the zone's hosts know.
+// underWayPerSlot is how many requests each of a target's slots has.
 func (t *target) underWayPerSlot() float64 {
-	return float64(t.busy+t.opening+t.peersBusy) / float64(max(t.Slots, 1))
+	return float64(t.underWay()) / float64(max(t.Slots, 1))
 }
 
-// spare reports whether a target has slots to spare for requests that will be late.
-func (s *Steerer) spare(t *target) bool { return t.underWayPerSlot() < spareShare }
-
 // pacingTick passes on what has waited long enough, and what there is room for.
 func (s *Steerer) pacingTick() {
 	s.checkUnderWay()
@@ -177,8 +176,8 @@
 	for _, name := range s.serviceNames() {
 		v := s.services[name]
 		for _, t := range slices.Clone(v.lines) {
-			for r, due := t.line.TakeOverdue(s.now); due; r, due = t.line.TakeOverdue(s.now) {
-				s.passPaced(r.Payload, "overdue")
+			for r, due := t.line.Overdue(s.now); due; r, due = t.line.Overdue(s.now) {
+				s.passPaced(r, "overdue")
 			}
 		}
 		s.passOn(v)
--- a/core/steerer/pacing_test.go
+++ b/core/steerer/pacing_test.go
@@ -60,8 +60,26 @@
 	return all
 }
 
+// waitingFeed is a pressed host where a feed's request waits behind checks.
+func waitingFeed(t *testing.T) (*fleet, *caller, []*caller) {
+	f := pressedHost(t)
+	c := feed(f, 1)
+	checks := fillWindow(f, 100)
+	c.ask("a1")
+	require.Equal(t, 1, paced(f))
+	return f, c, checks
+}
+
 func paced(f *fleet) int { return f.hosts["a1"].steerer.Snapshot().Paced }
 
+// requireReset demands that nothing waits any more and that only a caller was reset.
+func requireReset(t *testing.T, f *fleet, c *caller) {
+	t.Helper()
+	require.Zero(t, paced(f))
+	require.Len(t, f.hosts["a1"].resets, 1)
+	require.Equal(t, c.address, f.hosts["a1"].resets[0].Caller)
+}
+
 // Symptom: in a crowd checks are as late as feeds. Sequence: a service is pressed; a feed
 // asks in its open flow, then a check comes. Cause: whatever comes first goes first.
 func TestFeedWaitsWhileItsServiceIsPressed(t *testing.T) {
@@ -87,10 +105,7 @@
 // Symptom: a caller is held until it gives up. Sequence: a feed waits, and no room comes.
 // Cause: a wait without a bound.
 func TestPacedRequestIsPassedOnWhileItsCallerHasTime(t *testing.T) {
-	f := pressedHost(t)
-	c := feed(f, 1)
-	fillWindow(f, 100)
-	c.ask("a1")
+	f, _, _ := waitingFeed(t)
 	f.step(500 * time.Millisecond)
 	fillWindow(f, 300)
 	require.Equal(t, 1, paced(f))
@@ -102,10 +117,7 @@
 // Symptom: a target gets a request twice, or counts as silent. Sequence: a feed waits at
 // the host, and its caller repeats the packet. Cause: a repeat that passes what waits.
 func TestRepeatsOfAPacedRequestAreNotPassedOn(t *testing.T) {
-	f := pressedHost(t)
-	c := feed(f, 1)
-	checks := fillWindow(f, 100)
-	c.ask("a1")
+	f, c, checks := waitingFeed(t)
 	before := len(f.hosts["a1"].sent)
 	f.step(200 * time.Millisecond)
 	c.repeat("a1")
@@ -126,10 +138,7 @@
 // Symptom: targets work for callers that have gone. Sequence: a feed waits, its caller
 // gives up and resets the flow. Cause: a request that outlives its caller.
 func TestPacedRequestOfACallerThatHasGoneIsDropped(t *testing.T) {
-	f := pressedHost(t)
-	c := feed(f, 1)
-	fillWindow(f, 100)
-	c.ask("a1")
+	f, c, _ := waitingFeed(t)
 	before := len(f.hosts["a1"].sent)
 	f.reduce("a1", &steerer.CallerPacket{Packet: c.packet(steerer.FlagReset|steerer.FlagAck, 0, "reset")})
 	require.Zero(t, paced(f))
@@ -163,10 +172,7 @@
 // Symptom: callers wait for a host that ends. Sequence: SIGTERM comes while feeds wait.
 // Cause: what waits is forgotten with the process.
 func TestLeavingHostPassesOnWhatWaits(t *testing.T) {
-	f := pressedHost(t)
-	c := feed(f, 1)
-	fillWindow(f, 100)
-	c.ask("a1")
+	f, c, _ := waitingFeed(t)
 	f.reduce("a1", &steerer.Shutdown{})
 	require.Zero(t, paced(f))
 	require.Equal(t, c.target, f.last("a1"))
@@ -178,41 +184,27 @@
 // Symptom: a feed waits at its host for a target that is silent. Sequence: the target
 // crashes; a check of it fails. Cause: only requests that were passed on are given up.
 func TestPacedRequestOfASilentTargetIsReset(t *testing.T) {
-	f := pressedHost(t)
-	c := feed(f, 1)
-	fillWindow(f, 100)
-	c.ask("a1")
+	f, c, _ := waitingFeed(t)
 	f.outcomes[c.target] = steerer.ProbeRefused
 	f.step(200 * time.Millisecond)
 	f.reduce("a1", &steerer.Probed{Target: c.target, Outcome: steerer.ProbeRefused, Took: hop})
-	require.Zero(t, paced(f))
-	require.Len(t, f.hosts["a1"].resets, 1)
-	require.Equal(t, c.address, f.hosts["a1"].resets[0].Caller)
+	requireReset(t, f, c)
 }
 
 // Symptom: a request reaches a service that its route no longer names. Sequence: a feed
 // waits; a version drops its route. Cause: what waits is passed on unseen.
 func TestPacedRequestOfARemovedRouteIsReset(t *testing.T) {
-	f := pressedHost(t)
-	c := feed(f, 1)
-	fillWindow(f, 100)
-	c.ask("a1")
+	f, c, _ := waitingFeed(t)
 	f.settings = settingsOf(3, objectiveRoutes()[1:])
 	f.step(1500 * time.Millisecond)
-	require.Zero(t, paced(f))
-	require.Len(t, f.hosts["a1"].resets, 1)
-	require.Equal(t, c.address, f.hosts["a1"].resets[0].Caller)
+	requireReset(t, f, c)
 }
 
 // Symptom: a service is throttled for seconds after its targets reset flows. Sequence:
 // targets that are full reset flows, which tells only their callers. Cause: requests
 // whose answers nobody sees count as under way until their timeout.
 func TestUnseenResetsDoNotHoldUpOthers(t *testing.T) {
-	f := pressedHost(t)
-	c := feed(f, 1)
-	fillWindow(f, 100)
-	c.ask("a1")
-	require.Equal(t, 1, paced(f))
+	f, _, _ := waitingFeed(t)
 	f.step(time.Second)
 	require.Zero(t, paced(f), "eight times the usual 100 ms, and before the wait's own bound")
 }
--- a/core/steerer/quickness.go
+++ b/core/steerer/quickness.go
@@ -45,9 +45,6 @@
 // of its service and gets most new flows. One notices by callers that fail again and
 // again at one target. What is in an answer can't be read here, but how quickly it
 // comes can.
-//
-// While the service is pressed it is not held against a target: full targets refuse at
-// once, and work that goes elsewhere for it fills the next.
 func (s *Steerer) noteAnswer(f *flow, took time.Duration) {
 	u, ok := s.usual[f.route.Name]
 	if !ok {
@@ -65,7 +62,9 @@
 	u.add(took, pressed)
 }
 
-// failsWork reports whether a target answers more quickly than it can work.
+// failsWork reports whether a target answers more quickly than it can work. Answers of a
+// pressed service say nothing of that: full targets refuse at once, and work that goes
+// elsewhere for it fills the next.
 func (s *Steerer) failsWork(t *target) bool {
 	count := 0
 	for _, at := range t.quick.own {
@@ -78,7 +77,7 @@
 			count++
 		}
 	}
-	return count >= quickEnough
+	return count >= quickEnough && !s.pressed(t.Service)
 }
 
 // takeQuick takes in whose quick answers another host of the zone saw.
--- a/core/steerer/quickness_test.go
+++ b/core/steerer/quickness_test.go
@@ -28,19 +28,11 @@
 
 // failAtOnce lets a target answer one request at once.
 func failAtOnce(f *fleet, name, target string, from int) {
-	for n := from; n < from+200; n++ {
-		c := f.caller(n, checkRoute)
-		c.open(name, 0)
-		c.establish(name)
-		if c.target == target {
-			c.ask(name)
-			f.step(2 * time.Millisecond)
-			c.thank(name)
-			c.finish(name)
-			return
-		}
-	}
-	f.t.Fatalf("no flow landed on %s", target)
+	c := openOn(f, name, target, from, false)
+	c.ask(name)
+	f.step(2 * time.Millisecond)
+	c.thank(name)
+	c.finish(name)
 }
 
 // share counts the new flows of a host that land on a target, of ten for each.
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -74,7 +74,7 @@
 	flows map[flowKey]*flow
 	// flowSweepDeadline is when forgotten flows are next looked for.
 	flowSweepDeadline timekeeper.Instant
-	opening           []openingCheck
+	opening           flowChecks
 	// held are packets that came before this host knew where packets go.
 	held    []heldPacket
 	reading reading
@@ -88,7 +88,7 @@
 	// this host, and underWay lists those that were passed on, the oldest first.
 	services map[string]*service
 	paced    int
-	underWay []underWayCheck
+	underWay flowChecks
 	leaving  leaving
 
 	effects   []Effect
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -57,7 +57,7 @@
 			s.sendTarget(to, to.tag, p.Data)
 			return
 		}
-		s.opening = append(s.opening, openingCheck{key: key, deadline: s.now.Add(openingPatience)})
+		s.opening.add(flowCheck{key: key, since: s.now, deadline: s.now.Add(openingPatience)})
 	} else {
 		s.noteCopy(f, to)
 	}
@@ -184,8 +184,7 @@
 		return true
 	}
 	f.pacedFor = 0
-	s.beginRequest(key, f)
-	f.keepRequest(p.Data)
+	s.beginRequest(key, f, p.Data)
 	return false
 }
 
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -101,3 +101,6 @@
 	health health
 	quick  quickness
 }
+
+// underWay is how many requests a target has, as far as the zone's hosts know.
+func (t *target) underWay() int { return t.busy + t.opening + t.peersBusy }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -114,7 +114,7 @@
 without "questions to other hosts" steerer/asking.go 'if p == nil || !s.asking.deadline.Passed(s.now) {' 'if true {' 'TestHostsThatStartWhileThePlatformIsDown|TestVersionReachesHostsThatAreTurnedAway'
 without "the delay of the end" steerer/leaving.go 'if !l.begun || l.ended || !l.earliest.Passed(s.now) {' 'if !l.begun || l.ended {' TestLeavingHostPassesPacketsOnUntilTheFabricHasNoticed
 without "only removed routes" steerer/steering.go 'if !routed && s.removed[p.Service] {' 'if !routed {' TestOpenFlowOfAnUnknownRouteGoesOn
-without "load of flows that have not opened" steerer/choosing.go 't.busy+t.opening+t.peersBusy' 't.busy+t.peersBusy' TestCrashedTargetDoesNotAttractFlows
+without "load of flows that have not opened" steerer/target.go 't.busy + t.opening + t.peersBusy' 't.busy + t.peersBusy' TestCrashedTargetDoesNotAttractFlows
 without "changes told by turns" steerer/reports.go "s.peers.changeTurn += maxChanges" "" TestManyChangesAtOnceSpreadInReports
 without "questions at random" steerer/asking.go 'near[s.random.IntN(len(near))]' 'near[0]' TestQuestionsAreSpreadOverThoseWhoKnow
 without "the notice of refusals" steerer/flow.go 's.noteStall(f.target, "openingRefused")' '' TestTargetThatRefusesFlowsIsNoticed
@@ -125,7 +125,7 @@
 without "distrust of a full link" steerer/health.go '!s.path.slow(s.now) && ' '' TestFullLinkBlamesNobody
 without "copies that tell nothing of the path" steerer/path.go 'if f.copied {' 'if false {' TestCopiesOfOpeningPacketsDoNotMakeThePathSlow
 without "routes that stay as they were" steerer/reading.go 'settings = settings.keeping(s.settings)' '' TestRouteThatCannotBeReadStaysAsItWas
-without "the notice of quick answers" steerer/choosing.go 'if s.failsWork(t) && ' 'if false && ' TestTargetThatFailsAtOnceGetsFewFlows
+without "the notice of quick answers" steerer/choosing.go 'if s.failsWork(t) {' 'if false {' TestTargetThatFailsAtOnceGetsFewFlows
 without "word of quick answers" steerer/reports.go 's.takeQuick(p, r.Quick)' '' TestQuickAnswersAreToldToTheZonesHosts
 without "large links before small ones" steerer/peers.go 'first = p.link > s.config.LinkBytesPerSecond' '' TestHostsWithLargeLinksRead
 without "questions for targets that are gone" steerer/asking.go 'p = s.goneInformant()' 'p = nil' TestHostThatStartsLearnsOfTargetsThatAreGone
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -273,9 +273,7 @@
 		s.fleet.store.Put(t.Entry())
 		wait(ctx, s.span(2*time.Second))
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.targets = append(s.targets, t)
+	s.giveBack(t)
 	return fmt.Sprintf("%s %d times", t.Entry().ID, turns)
 }
 
@@ -302,9 +300,7 @@
 		s.fleet.store.Put(t.Restart())
 		wait(ctx, s.span(2*time.Second))
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.targets = append(s.targets, t)
+	s.giveBack(t)
 	return fmt.Sprintf("%s %d times", t.Entry().ID, turns)
 }
 
@@ -317,11 +313,7 @@
 	if s.pick(2) > 0 {
 		t := s.target()
 		id = t.Entry().ID
-		defer func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.targets = append(s.targets, t)
-		}()
+		defer s.giveBack(t)
 	}
 	value := foreignValues[s.pick(len(foreignValues))]
 	s.fleet.store.WriteForeign(id, json.RawMessage(value))
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -238,6 +238,13 @@
 	return t
 }
 
+// giveBack lets later faults choose a target again.
+func (s *soak) giveBack(t *answerer.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = append(s.targets, t)
+}
+
 // The addresses that callers use.
 var (
 	readRoute     = netip.MustParseAddrPort("198.18.0.1:443")
