--- a/balancer/flows.go
+++ b/balancer/flows.go
@@ -50,7 +50,9 @@
 		}
 	}()
 	host, err := flowrunner.New(path, config, flowrunner.Platform{
-		NewCalls:         func(address netip.AddrPort) fetcher.Platform { return platform.NewStore(address) },
+		NewCalls: func(address netip.AddrPort, dial flowrunner.Dial) fetcher.Platform {
+			return platform.NewStore(address, platform.Dial(dial))
+		},
 		Codec:            platform.Codec{},
 		MaxDatagramBytes: platform.MaxDatagramBytes,
 		DecodeSettings:   platform.DecodeSettings,
--- a/balancer/internal/exchanger/exchanger.go
+++ b/balancer/internal/exchanger/exchanger.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"cranberryspan.dev/balancer/internal/meterer"
 	"cranberryspan.dev/core/encoder"
 	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/resolver"
@@ -51,10 +52,13 @@
 
 const (
 	path = "/knowledge"
-	// exchangeTimeout gives up an exchange. It takes two round trips and the time
-	// to compress a document of some 100 KB, a few milliseconds; a list of 3,800
-	// targets, some 350 KB, takes 0.3 s on a link of 10 Mbit/s.
-	exchangeTimeout = time.Second
+	// answerTimeout gives up a host that does not begin to answer. That takes two round
+	// trips, and a few tens of milliseconds of a small processor to compress what is told.
+	answerTimeout = 500 * time.Millisecond
+	// exchangeTimeout gives up a whole exchange: a document of 1 MB and a list of 3,800
+	// targets, 170 KB when compressed, take 2.7 s on a link of 2 Mbit/s that sends
+	// maxAnswers of them at once.
+	exchangeTimeout = 5 * time.Second
 	// maxAnswers bounds the questions that are answered at once, so that each gets
 	// a fair part of the link. Others are turned away and ask elsewhere.
 	maxAnswers = 4
@@ -74,19 +78,26 @@
 	answer   Answerer
 	events   chan<- steerer.Event
 	calls    sync.WaitGroup
+	// dial opens connections to other hosts.
+	dial *http.Client
 	// answering holds a place for each question that is being answered.
 	answering chan struct{}
+	packed    packedDocument
 	// Refused counts questions that could not be read or answered.
 	Refused atomic.Uint64
 }
 
-// New listens on a host's address.
-func New(address netip.AddrPort, sealer *encoder.Sealer, decode Decoder, answer Answerer, events chan<- steerer.Event) (*Exchanger, error) {
+// New listens on a host's address. The meter counts the bytes of questions and answers.
+func New(address netip.AddrPort, sealer *encoder.Sealer, decode Decoder, answer Answerer, meter *meterer.Meterer, events chan<- steerer.Event) (*Exchanger, error) {
 	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
 		return nil, &Error{Op: "listen for questions", Kind: KindListen, Err: err}
 	}
-	return &Exchanger{listener: listener, sealer: sealer, decode: decode, answer: answer, events: events, answering: make(chan struct{}, maxAnswers)}, nil
+	return &Exchanger{
+		listener: meter.Listener(listener), sealer: sealer, decode: decode, answer: answer, events: events,
+		dial:      &http.Client{Transport: &http.Transport{DialContext: meter.Dial, DisableKeepAlives: true}},
+		answering: make(chan struct{}, maxAnswers),
+	}, nil
 }
 
 // Run answers questions until the context ends, and reports its end.
@@ -106,7 +117,7 @@
 			x.Refused.Add(1)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: exchangeTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: answerTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() {
 		err := server.Serve(x.listener)
@@ -143,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	if err := pack(knowledge); err != nil {
+	if err := x.pack(knowledge); err != nil {
 		return err
 	}
 	sealed, err := x.sealer.Seal(from, knowledge)
@@ -178,7 +189,11 @@
 	const op = "ask host"
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	conn, response, err := websocket.Dial(ctx, "ws://"+address.String()+path, nil)
+	ctx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	unanswered := time.AfterFunc(answerTimeout, giveUp)
+	defer unanswered.Stop()
+	conn, response, err := websocket.Dial(ctx, "ws://"+address.String()+path, &websocket.DialOptions{HTTPClient: x.dial})
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
 	}
@@ -194,7 +209,12 @@
 	if err := conn.Write(ctx, websocket.MessageBinary, sealed); err != nil {
 		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
 	}
-	_, data, err := conn.Read(ctx)
+	_, reader, err := conn.Reader(ctx)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	unanswered.Stop()
+	data, err := io.ReadAll(reader)
 	if err != nil {
 		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
 	}
@@ -212,11 +232,42 @@
 	return knowledge, nil
 }
 
+// packedDocument is the document that was last told to another host, compressed.
+type packedDocument struct {
+	mu         sync.Mutex
+	version    uint64
+	compressed []byte
+}
+
+// pack returns a version's document compressed.
+//
+// What goes wrong without a memory: after a change many hosts ask the few that know it.
+// A document of 400 KB takes 10 ms of a whole processor to compress, for each of them,
+// and a small host has an eighth of one.
+func (p *packedDocument) pack(version uint64, document []byte) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version == version && len(p.compressed) > 0 {
+		return p.compressed, nil
+	}
+	compressed, err := compress(document)
+	if err != nil {
+		return nil, err
+	}
+	p.version, p.compressed = version, compressed
+	return compressed, nil
+}
+
 // pack compresses what a host tells another.
-func pack(k *messenger.Knowledge) error {
+func (x *Exchanger) pack(k *messenger.Knowledge) error {
 	var err error
-	if k.Document, err = compress(k.Document); err != nil || len(k.Targets) == 0 {
-		return err
+	if len(k.Document) > 0 {
+		if k.Document, err = x.packed.pack(k.Version, k.Document); err != nil {
+			return err
+		}
+	}
+	if len(k.Targets) == 0 {
+		return nil
 	}
 	targets, err := encoder.EncodeTargets(k.Targets)
 	if err != nil {
--- a/balancer/internal/exchanger/exchanger_test.go
+++ b/balancer/internal/exchanger/exchanger_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cranberryspan.dev/balancer/internal/meterer"
 	"cranberryspan.dev/core/encoder"
 	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/steerer"
@@ -41,9 +42,9 @@
 		return steerer.NewSettings(uint64(len(document)), nil, nil, 0), nil
 	}
 	events := make(chan steerer.Event, 1)
-	served, err := New(freeAddress(t), encoder.New("b1", nil), decode, answer, events)
+	served, err := New(freeAddress(t), encoder.New("b1", nil), decode, answer, meterer.New(), events)
 	require.NoError(t, err)
-	asking, err := New(freeAddress(t), encoder.New("a1", nil), decode, answer, events)
+	asking, err := New(freeAddress(t), encoder.New("a1", nil), decode, answer, meterer.New(), events)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	end := served.Run(ctx)
--- a/balancer/internal/fetcher/fetcher.go
+++ b/balancer/internal/fetcher/fetcher.go
@@ -14,8 +14,8 @@
 
 // Platform is what a host asks of its platform.
 type Platform interface {
-	ReadSettings(ctx context.Context) (*steerer.Settings, []byte, error)
-	ReadTargets(ctx context.Context) (steerer.TargetList, error)
+	ReadSettings(ctx context.Context, mayBeStale bool) (*steerer.Settings, []byte, error)
+	ReadTargets(ctx context.Context, mayBeStale bool) (steerer.TargetList, error)
 	Check(ctx context.Context, target string, address netip.AddrPort, path string) steerer.ProbeOutcome
 }
 
@@ -50,20 +50,20 @@
 }
 
 // ReadSettings starts a read of the settings.
-func (f *Fetcher) ReadSettings(ctx context.Context) {
-	platform := f.platform
+func (f *Fetcher) ReadSettings(ctx context.Context, e *steerer.ReadSettings) {
+	platform, mayBeStale := f.platform, e.MayBeStale
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
-		settings, document, err := platform.ReadSettings(ctx)
-		return &steerer.SettingsRead{Started: started, Settings: settings, Document: document, Err: err}
+		settings, document, err := platform.ReadSettings(ctx, mayBeStale)
+		return &steerer.SettingsRead{Started: started, MayBeStale: mayBeStale, Settings: settings, Document: document, Err: err}
 	})
 }
 
 // ReadTargets starts a read of the list of targets.
-func (f *Fetcher) ReadTargets(ctx context.Context) {
-	platform := f.platform
+func (f *Fetcher) ReadTargets(ctx context.Context, e *steerer.ReadTargets) {
+	platform, mayBeStale := f.platform, e.MayBeStale
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
-		list, err := platform.ReadTargets(ctx)
-		return &steerer.TargetsRead{Started: started, List: list, Err: err}
+		list, err := platform.ReadTargets(ctx, mayBeStale)
+		return &steerer.TargetsRead{Started: started, MayBeStale: mayBeStale, List: list, Err: err}
 	})
 }
 
--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -17,6 +18,7 @@
 	"cranberryspan.dev/balancer/internal/gossiper"
 	"cranberryspan.dev/balancer/internal/inspector"
 	"cranberryspan.dev/balancer/internal/logger"
+	"cranberryspan.dev/balancer/internal/meterer"
 	"cranberryspan.dev/balancer/internal/readier"
 	"cranberryspan.dev/balancer/internal/reloader"
 	"cranberryspan.dev/core/encoder"
@@ -42,8 +44,9 @@
 
 // Platform is the host's way to its platform.
 type Platform struct {
-	// NewCalls makes a client of the platform at an address.
-	NewCalls func(address netip.AddrPort) fetcher.Platform
+	// NewCalls makes a client of the platform at an address, which reads over
+	// connections that dial opens.
+	NewCalls func(address netip.AddrPort, dial Dial) fetcher.Platform
 	Codec    forwarder.Codec
 	// MaxDatagramBytes is the size of the largest datagram of Codec.
 	MaxDatagramBytes int
@@ -53,6 +56,9 @@
 	ReadyPath string
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Runner is one host's daemon.
 type Runner struct {
 	// path is where the settings file lies.
@@ -65,6 +71,9 @@
 	events    chan steerer.Event
 	inspector inspector.Inspector[*steerer.Steerer]
 
+	meterer *meterer.Meterer
+	// bulk is what the meterer had counted at the last tick.
+	bulk      bulk
 	forwarder *forwarder.Forwarder
 	gossiper  *gossiper.Gossiper
 	exchanger *exchanger.Exchanger
@@ -78,7 +87,7 @@
 
 // New opens the host's sockets. The settings in config were read from path.
 func New(path string, config configurer.FlowConfig, platform Platform, log *logger.Logger) (*Runner, error) {
-	r := &Runner{path: path, config: config, platform: platform, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue), inspector: inspector.New[*steerer.Steerer]()}
+	r := &Runner{path: path, config: config, platform: platform, log: log, start: time.Now(), events: make(chan steerer.Event, eventQueue), meterer: meterer.New(), inspector: inspector.New[*steerer.Steerer]()}
 	incarnation := uint64(r.start.UnixMilli())
 	r.steerer = steerer.New(steerer.Config{
 		Self:               config.Name,
@@ -102,13 +111,13 @@
 	if r.gossiper, err = gossiper.New(config.Address, sealer, r.events); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
-	if r.exchanger, err = exchanger.New(config.Address, sealer, platform.DecodeSettings, r.knowledge, r.events); err != nil {
+	if r.exchanger, err = exchanger.New(config.Address, sealer, platform.DecodeSettings, r.knowledge, r.meterer, r.events); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
 	if r.readier, err = readier.New(config.ReadyAddress, platform.ReadyPath); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
-	r.fetcher = fetcher.New(platform.NewCalls(config.Platform), r.now, r.events)
+	r.fetcher = fetcher.New(platform.NewCalls(config.Platform, r.meterer.Dial), r.now, r.events)
 	r.reloader = reloader.New(path)
 	if r.metrics.exporter, err = exporter.New(config.AdminAddress, config.Name, flushEvery); err != nil {
 		return nil, errors.Wrap(err, "start")
@@ -178,7 +187,7 @@
 			leave = nil
 			event = &steerer.Shutdown{}
 		case <-ticker.C:
-			event = &steerer.Tick{}
+			event = r.tick()
 		case cause := <-r.reloader.Changed():
 			if event = r.reload(cause); event == nil {
 				continue
@@ -194,6 +203,21 @@
 	}
 }
 
+// bulk is how many bytes have gone over connections that are not flows.
+type bulk struct{ received, sent uint64 }
+
+// tick makes a Tick event.
+func (r *Runner) tick() *steerer.Tick {
+	var now bulk
+	now.received, now.sent = r.meterer.Totals()
+	event := &steerer.Tick{
+		TransfersReceived: int(now.received - r.bulk.received),
+		TransfersSent:     int(now.sent - r.bulk.sent),
+	}
+	r.bulk = now
+	return event
+}
+
 // handle takes in one event and reports whether the host has left.
 func (r *Runner) handle(ctx context.Context, event steerer.Event) bool {
 	steerer.Stamp(event, r.now())
@@ -219,9 +243,9 @@
 		case *steerer.ResetFlow:
 			r.forwarder.Reset(e)
 		case *steerer.ReadSettings:
-			r.fetcher.ReadSettings(ctx)
+			r.fetcher.ReadSettings(ctx, e)
 		case *steerer.ReadTargets:
-			r.fetcher.ReadTargets(ctx)
+			r.fetcher.ReadTargets(ctx, e)
 		case *steerer.Probe:
 			r.fetcher.Probe(ctx, e)
 		case *steerer.SendReport:
--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -68,14 +68,16 @@
 // transportCounters lists what the parts count, by name.
 func (r *Runner) transportCounters() map[string]func() uint64 {
 	return map[string]func() uint64{
-		"packets":          r.forwarder.Counters.Packets.Load,
-		"packetMalformed":  r.forwarder.Counters.Malformed.Load,
-		"packetOverflow":   r.forwarder.Counters.Overflow.Load,
-		"packetSendFailed": r.forwarder.Counters.SendFailed.Load,
-		"reportUnreadable": r.gossiper.Counters.Unreadable.Load,
-		"reportSendFailed": r.gossiper.Counters.SendFailed.Load,
-		"reportBytes":      r.gossiper.Counters.SentBytes.Load,
-		"questionsRefused": r.exchanger.Refused.Load,
-		"logLinesLeftOut":  r.log.LeftOut,
+		"packets":               r.forwarder.Counters.Packets.Load,
+		"packetMalformed":       r.forwarder.Counters.Malformed.Load,
+		"packetOverflow":        r.forwarder.Counters.Overflow.Load,
+		"packetSendFailed":      r.forwarder.Counters.SendFailed.Load,
+		"reportUnreadable":      r.gossiper.Counters.Unreadable.Load,
+		"reportSendFailed":      r.gossiper.Counters.SendFailed.Load,
+		"reportBytes":           r.gossiper.Counters.SentBytes.Load,
+		"questionsRefused":      r.exchanger.Refused.Load,
+		"transferReceivedBytes": func() uint64 { received, _ := r.meterer.Totals(); return received },
+		"transferSentBytes":     func() uint64 { _, sent := r.meterer.Totals(); return sent },
+		"logLinesLeftOut":       r.log.LeftOut,
 	}
 }
--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -8,9 +8,19 @@
 )
 
 const (
-	// askEvery is the pause between two questions to other hosts, which is also
-	// how long one of them may hang: an answer takes some milliseconds.
+	// askEvery is the least time between the beginnings of two questions to other
+	// hosts, askAgain the mean pause after one that failed. A host that turns another
+	// away does so at once, and the next has room.
 	askEvery = 300 * time.Millisecond
+	askAgain = 100 * time.Millisecond
+	// firstReadPatience is how long a host that has just started waits for its own
+	// first reads before it asks others: the platform answers in some milliseconds.
+	firstReadPatience = 100 * time.Millisecond
+	// behindShare and behindSpread say how long a host that has heard of newer settings
+	// asks others before it reads the platform: from 0.3 to 0.5 of the time in which
+	// settings must be known, each host at its own part. Half is left for the read.
+	behindShare  = 0.3
+	behindSpread = 0.2
 	// askPatience is how long this host's targets may differ from another's before
 	// it asks. Reports repeat each change for longer, so mostly they settle it.
 	askPatience = time.Second
@@ -18,6 +28,8 @@
 
 // asking is the state of this host's questions to others.
 type asking struct {
+	// asked says that a question is under way; each is answered or fails.
+	asked bool
 	// deadline is when the next question may be sent.
 	deadline timekeeper.Instant
 	// behindSince is since when another host is known to have newer settings; 0 if
@@ -44,17 +56,25 @@
 // turns it away, knows no settings and no targets. It takes no flows, and if the
 // fabric hands it packets nevertheless, drops them. And after each change every
 // host of the fleet calls the platform at once.
+//
+// One question is under way at a time: a document of some hundred KB takes a small link
+// for longer than askEvery, and several that come at once all come late.
 func (s *Steerer) askingTick() {
+	s.readIfLeftBehind()
+	if s.firstReads() {
+		return
+	}
+	if s.asking.asked || !s.asking.deadline.Passed(s.now) {
+		return
+	}
 	p := s.informant()
 	if p == nil {
 		p = s.goneInformant()
 	}
-	if p == nil || !s.asking.deadline.Passed(s.now) {
+	if p == nil {
 		return
 	}
-	if s.asking.behindSince != 0 && s.asking.behindSince.Add(askEvery).Passed(s.now) {
-		s.reading.settings.urgent = true
-	}
+	s.asking.asked = true
 	s.asking.deadline = s.now.Add(askEvery)
 	request := &messenger.KnowledgeRequest{Above: s.version(), Targets: s.lacksTargets(), Since: s.targetsRevision, Gone: s.wantsGone()}
 	s.log("hostAsked", field("peer", p.name), field("version", utoa(s.version())), field("peerVersion", utoa(p.version)),
@@ -62,6 +82,31 @@
 	s.emit(&AskHost{Host: p.name, Address: p.address, Request: request})
 }
 
+// firstReads reports whether the first reads after this host's start may still come in
+// time to spare others a question.
+func (s *Steerer) firstReads() bool {
+	reading := s.reading.settings.reading || s.reading.targets.reading
+	return reading && !s.config.Start.Add(firstReadPatience).Passed(s.now)
+}
+
+// readIfLeftBehind has this host read the platform if nobody has told it the newer
+// settings that it has heard of.
+//
+// What goes wrong if it does so sooner: after each change the whole fleet reads the
+// document, of some hundred KB, from the platform at once, though others have it
+// compressed and nearer by.
+func (s *Steerer) readIfLeftBehind() {
+	a := &s.asking
+	if a.behindSince == 0 {
+		return
+	}
+	share := behindShare + behindSpread*s.ownPart()
+	if a.behindSince.Add(time.Duration(float64(s.config.SettingsWithin) * share)).Passed(s.now) {
+		s.reading.settings.urgent = true
+		a.behindSince = s.now
+	}
+}
+
 // informant picks a host that knows what this one lacks, in the own zone if there
 // is one; nil if nothing is lacking or nobody knows it.
 //
@@ -135,7 +180,10 @@
 // hostAnswered takes in what another host knows. What this host learned itself
 // meanwhile stays if it is newer.
 func (s *Steerer) hostAnswered(e *HostAnswered) {
+	s.asking.asked = false
 	if e.Err != nil {
+		pause := time.Duration(float64(askAgain) * (0.5 + s.random.Float64()))
+		s.asking.deadline = s.now.Add(pause)
 		s.log("hostNotAnswering", field("peer", e.From), field("error", e.Err.Error()))
 		return
 	}
--- a/core/steerer/effect.go
+++ b/core/steerer/effect.go
@@ -41,10 +41,16 @@
 }
 
 // ReadSettings asks the platform for the newest settings.
-type ReadSettings struct{}
+type ReadSettings struct {
+	// MayBeStale allows an answer that is some seconds old.
+	MayBeStale bool
+}
 
 // ReadTargets asks the platform for all targets.
-type ReadTargets struct{}
+type ReadTargets struct {
+	// MayBeStale allows an answer that is some seconds old.
+	MayBeStale bool
+}
 
 // Probe checks whether a target lives.
 type Probe struct {
--- a/core/steerer/event.go
+++ b/core/steerer/event.go
@@ -34,8 +34,10 @@
 // SettingsRead is the outcome of a ReadSettings effect.
 type SettingsRead struct {
 	At timekeeper.Instant
-	// Started is when the read began: the answer is at least as new as that.
-	Started timekeeper.Instant
+	// Started is when the read began: the answer is at least as new as that, unless
+	// MayBeStale is set.
+	Started    timekeeper.Instant
+	MayBeStale bool
 	// Settings is nil if nothing was published yet or if Err is set.
 	Settings *Settings
 	// Document is what was published, for hosts that can't read it themselves.
@@ -45,10 +47,12 @@
 
 // TargetsRead is the outcome of a ReadTargets effect.
 type TargetsRead struct {
-	At      timekeeper.Instant
-	Started timekeeper.Instant
-	List    TargetList
-	Err     error
+	At timekeeper.Instant
+	// Started and MayBeStale are as in SettingsRead.
+	Started    timekeeper.Instant
+	MayBeStale bool
+	List       TargetList
+	Err        error
 }
 
 // TargetList is all targets that the platform lists.
@@ -141,6 +145,10 @@
 // Tick lets time pass. It comes every TickEvery.
 type Tick struct {
 	At timekeeper.Instant
+	// TransfersReceived and TransfersSent are the bytes that reads of the platform and answers
+	// between hosts have put on this host's link since the last tick.
+	TransfersReceived int
+	TransfersSent     int
 }
 
 // Shutdown asks the host to leave the fabric's rotation and end.
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -42,7 +42,15 @@
 	// outcomes says how liveness checks end; the others end well.
 	outcomes map[string]steerer.ProbeOutcome
 	reads    int
-	asks     int
+	// staleReads counts those of reads that may have been seconds old.
+	staleReads int
+	asks       int
+	// answerTakes is how long a host takes to answer another; hop if 0.
+	answerTakes time.Duration
+	// asking counts the questions of each host that are under way, mostAsking the most
+	// that any had at once.
+	asking     map[string]int
+	mostAsking int
 	// maxAnswers bounds the questions that a host answers at once; 0 is any.
 	maxAnswers int
 	probes     int
@@ -116,7 +124,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, now: timekeeper.Instant(time.Second), hosts: map[string]*host{}, targets: map[string]steerer.Target{},
-		turnedAway: map[string]bool{}, cut: map[[2]string]bool{}, outcomes: map[string]steerer.ProbeOutcome{},
+		turnedAway: map[string]bool{}, cut: map[[2]string]bool{}, asking: map[string]int{}, outcomes: map[string]steerer.ProbeOutcome{},
 		settings: settingsOf(1, routes()), revision: 1, reportBytes: -1,
 	}
 	for zone, count := range hostsByZone {
@@ -261,9 +269,9 @@
 	case *steerer.ResetFlow:
 		h.resets = append(h.resets, *e)
 	case *steerer.ReadSettings:
-		f.readSettings(name)
+		f.readSettings(name, e.MayBeStale)
 	case *steerer.ReadTargets:
-		f.readTargets(name)
+		f.readTargets(name, e.MayBeStale)
 	case *steerer.Probe:
 		f.probe(name, *e)
 	case *steerer.SendReport:
@@ -282,20 +290,27 @@
 
 func (f *fleet) answers(name string) bool { return !f.down && !f.turnedAway[name] }
 
-func (f *fleet) readSettings(name string) {
+// noteRead counts a read.
+func (f *fleet) noteRead(name string, mayBeStale bool) {
 	f.reads++
 	f.hosts[name].reads++
-	event := &steerer.SettingsRead{Started: f.now, Err: errDown}
+	if mayBeStale {
+		f.staleReads++
+	}
+}
+
+func (f *fleet) readSettings(name string, mayBeStale bool) {
+	f.noteRead(name, mayBeStale)
+	event := &steerer.SettingsRead{Started: f.now, MayBeStale: mayBeStale, Err: errDown}
 	if f.answers(name) {
 		event.Settings, event.Document, event.Err = f.settings, []byte{byte(f.settings.Version)}, nil
 	}
 	f.after(hop, func() { f.reduce(name, event) })
 }
 
-func (f *fleet) readTargets(name string) {
-	f.reads++
-	f.hosts[name].reads++
-	event := &steerer.TargetsRead{Started: f.now, Err: errDown}
+func (f *fleet) readTargets(name string, mayBeStale bool) {
+	f.noteRead(name, mayBeStale)
+	event := &steerer.TargetsRead{Started: f.now, MayBeStale: mayBeStale, Err: errDown}
 	if f.answers(name) {
 		event.Err, event.List.Revision = nil, f.revision
 		for _, target := range f.targets {
@@ -336,6 +351,8 @@
 
 func (f *fleet) askHost(name string, e *steerer.AskHost) {
 	f.asks++
+	f.asking[name]++
+	f.mostAsking = max(f.mostAsking, f.asking[name])
 	other := f.hosts[e.Host]
 	event := &steerer.HostAnswered{From: e.Host, Err: errDown}
 	busy := f.maxAnswers > 0 && other.answering == f.maxAnswers
@@ -348,7 +365,10 @@
 			event.Document, event.Settings = event.Knowledge.Document, f.settings
 		}
 	}
-	f.after(hop, func() { f.reduce(name, event) })
+	f.after(max(hop, f.answerTakes), func() {
+		f.asking[name]--
+		f.reduce(name, event)
+	})
 }
 
 // split cuts every link between zones; the platform stays in reach.
--- /dev/null
+++ b/core/steerer/herd_test.go
@@ -0,0 +1,126 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+// Symptom: hosts with small links learn a new version late, and their callers wait
+// meanwhile. Sequence: a document of 400 KB, some 40 KB when compressed, takes longer
+// from host to host than a host waits before it asks the next. Cause: several answers
+// with the same document share one link.
+func TestOneQuestionIsUnderWayAtATime(t *testing.T) {
+	f := newFleet(t, 6, 6)
+	f.answerTakes = time.Second
+	for _, name := range f.names[1:] {
+		f.turnedAway[name] = true
+	}
+	f.mostAsking = 0
+	f.settings = settingsOf(2, routes()[:2])
+	f.step(4 * time.Second) // The host that reads is not the first in rank.
+	for _, name := range f.names {
+		require.Equal(t, uint64(2), f.hosts[name].steerer.Snapshot().Version, name)
+	}
+	require.Equal(t, 1, f.mostAsking)
+}
+
+// Symptom: after each change of the settings the platform sends the whole document to
+// every host of the fleet. Sequence: a version comes; answers between hosts take longer
+// than usual, since the document is large. Cause: a host that reads the platform as soon
+// as one question was not answered at once.
+func TestChangeIsAskedOfOtherHosts(t *testing.T) {
+	f := newFleet(t, 10, 10, 10)
+	f.step(2 * time.Second)
+	f.answerTakes = 500 * time.Millisecond
+	f.settings = settingsOf(2, routes()[:2])
+	reads := f.reads
+	f.step(2500 * time.Millisecond)
+	for _, name := range f.names {
+		require.Equal(t, uint64(2), f.hosts[name].steerer.Snapshot().Version, name)
+	}
+	require.Less(t, f.reads-reads, 20, "of 30 hosts; some 8 when nothing changes")
+}
+
+// Symptom: some thousand calls to the platform in an outage of five seconds, most of its
+// price on a day of a large fleet; they are in its way when it comes back. Sequence: the
+// platform goes down; every host tries again about once a second, for settings and
+// targets. Cause: pauses between tries that do not know how many others try.
+func TestOutageIsNotAskedAboutByAllHosts(t *testing.T) {
+	f := newFleet(t, 40, 40, 40)
+	f.step(3 * time.Second)
+	f.down = true
+	f.step(3 * time.Second)
+	f.reads = 0
+	f.step(6 * time.Second)
+	require.Less(t, f.reads, 2*6*15, "ten tries a second for each of settings and targets")
+	f.down = false
+	f.settings = settingsOf(2, routes()[:2])
+	f.step(2500 * time.Millisecond)
+	for _, name := range f.names {
+		require.Equal(t, uint64(2), f.hosts[name].steerer.Snapshot().Version, name)
+	}
+}
+
+// A host that hears nobody tries as often as a small fleet does, however large the fleet
+// was that it heard before.
+func TestHostThatIsAloneAsksOften(t *testing.T) {
+	f := newFleet(t, 40, 40)
+	for _, name := range f.names[1:] {
+		f.kill(name)
+	}
+	f.down = true
+	f.step(20 * time.Second)
+	f.down = false
+	f.settings = settingsOf(2, routes()[:2])
+	f.step(2 * time.Second)
+	require.Equal(t, uint64(2), f.hosts[f.names[0]].steerer.Snapshot().Version)
+}
+
+// Symptom: the platform refuses calls for its rate after a loss of all hosts, and hosts
+// that are ready wait for it. Sequence: all hosts start at once; each reads settings and
+// all pages of targets. Cause: calls that count, where an answer a few seconds old would
+// do until the first reader has told what changed since.
+func TestFirstReadsMayBeStaleAndOneHostBringsThemUpToDate(t *testing.T) {
+	f := newFleet(t, 30, 30)
+	for _, name := range f.names {
+		f.kill(name)
+	}
+	f.step(time.Second)
+	f.reads, f.staleReads = 0, 0
+	for _, name := range f.names {
+		f.start(name)
+	}
+	f.step(500 * time.Millisecond)
+	for _, name := range f.names {
+		require.True(t, f.hosts[name].steerer.Ready(), name)
+	}
+	require.Equal(t, 2*60, f.staleReads)
+	f.step(4 * time.Second)
+	require.Less(t, f.reads-f.staleReads, 60, "reads that count, of 60 hosts")
+	for _, name := range f.names {
+		require.Less(t, f.hosts[name].steerer.Snapshot().TargetsAge, 3*time.Second, name)
+	}
+}
+
+// Symptom: on a host with a small link flows are reset whose targets work. Sequence: it
+// reads a large document; the answers of liveness checks wait behind it. Cause: the
+// host's own transfer taken for the targets' silence.
+func TestTransferOfTheHostItselfBlamesNobody(t *testing.T) {
+	const rate = 250_000
+	f := newFleet(t, 1)
+	f.hosts["a1"].linkBytesPerSecond = rate
+	f.kill("a1")
+	f.start("a1")
+	f.step(time.Second)
+	read := openOn(f, "a1", silentTarget, 0, true)
+	f.step(3 * time.Second)
+	f.reduce("a1", &steerer.Tick{TransfersReceived: int(rate * steerer.TickEvery.Seconds())})
+	stall(f, read)
+	require.Empty(t, f.hosts["a1"].resets)
+	f.step(2 * time.Second)
+	stall(f, read)
+	require.NotEmpty(t, f.hosts["a1"].resets, "the link is free again")
+}
--- a/core/steerer/path.go
+++ b/core/steerer/path.go
@@ -27,6 +27,10 @@
 	longQueue = slowOpening
 	// bulkBytes tells packets of large requests, which come in full packets.
 	bulkBytes = 1000
+	// bulkShare is the part of what the link can carry that reads of the platform and
+	// answers between hosts take while they hold up packets of flows: such a transfer
+	// takes all that the flows leave.
+	bulkShare = 0.3
 	// loadMemory is how long a full link counts: longer than a caller's first repeat
 	// and the check that follows it.
 	loadMemory = 600 * time.Millisecond
@@ -95,6 +99,19 @@
 	}
 }
 
+// noteTransfers takes in what reads of the platform and answers between hosts have put
+// on the link since the last tick.
+//
+// What goes wrong without it: a host with a small link reads a large document of
+// settings. The answers of liveness checks wait behind it, targets that work look
+// silent, and their flows are reset.
+func (s *Steerer) noteTransfers(received, sent int) {
+	rate := float64(s.config.LinkBytesPerSecond)
+	if rate > 0 && float64(max(received, sent)) > rate*TickEvery.Seconds()*bulkShare {
+		s.pathSlow("transfer", TickEvery, loadMemory)
+	}
+}
+
 // noteBulk counts the flows that send much at the same time.
 func (s *Steerer) noteBulk(f *flow, p *Packet) {
 	if p.Length >= bulkBytes && f.bulkSpan != s.path.spanDeadline {
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -37,11 +37,11 @@
 	busyMemory = 600 * time.Millisecond
 	// peerMemory is after how long a host that nobody mentions is forgotten.
 	peerMemory = 60 * time.Second
-	// mentionSilence is after how long a host that nobody mentions does not count
+	// shortMentionSilence is after how long a host that nobody mentions does not count
 	// for rank, in a small fleet. A larger one mentions each host more rarely, by
 	// maxHints in each of some 16 reports a second.
-	mentionSilence  = time.Second
-	mentionsASecond = 4 * reportFanout * maxHints
+	shortMentionSilence = time.Second
+	mentionsASecond     = 4 * reportFanout * maxHints
 	// mentionsMissed is how many mentions must fail to come: one in e^8 hosts that
 	// live is missed.
 	mentionsMissed = 8
@@ -128,13 +128,9 @@
 func (s *Steerer) rank() int {
 	rank := 0
 	own := xxhash.Sum64String(s.config.Self)
-	all := s.peers.ordered()
-	silence := mentionSilence
-	if len(all) > smallFleet {
-		silence = max(silence, time.Second*mentionsMissed*time.Duration(len(all))/mentionsASecond)
-	}
-	for _, p := range all {
-		if p.lives == 0 || p.leaving || s.now.Since(p.lives) >= silence {
+	silence := s.mentionSilence()
+	for _, p := range s.peers.ordered() {
+		if !p.mentioned(s.now, silence) {
 			continue
 		}
 		first := xxhash.Sum64String(p.name) < own
@@ -148,6 +144,32 @@
 	return rank
 }
 
+// mentionSilence is after how long a host that nobody mentions does not count.
+func (s *Steerer) mentionSilence() time.Duration {
+	all := len(s.peers.byName)
+	if all <= smallFleet {
+		return shortMentionSilence
+	}
+	return max(shortMentionSilence, time.Second*mentionsMissed*time.Duration(all)/mentionsASecond)
+}
+
+// mentioned reports whether a host lives as far as anybody says.
+func (p *peer) mentioned(now timekeeper.Instant, silence time.Duration) bool {
+	return p.lives != 0 && !p.leaving && now.Since(p.lives) < silence
+}
+
+// hostsHeardOf counts the other hosts that live as far as this one knows.
+func (s *Steerer) hostsHeardOf() int {
+	count := 0
+	silence := s.mentionSilence()
+	for _, p := range s.peers.ordered() {
+		if p.mentioned(s.now, silence) {
+			count++
+		}
+	}
+	return count
+}
+
 // notePeer returns the record of a host, which it makes if there is none.
 func (s *Steerer) notePeer(name string, address netip.AddrPort) *peer {
 	p, ok := s.peers.byName[name]
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -30,6 +30,10 @@
 	// firstReadBackoff and maxReadBackoff bound the pause after a failed read.
 	firstReadBackoff = 150 * time.Millisecond
 	maxReadBackoff   = 1200 * time.Millisecond
+	// fleetRetryEvery is the mean time between two failed reads of the same thing by
+	// the whole fleet: what came back is noticed within a tenth of a second, a small
+	// part of the time that the news then takes from host to host.
+	fleetRetryEvery = 100 * time.Millisecond
 )
 
 // source is one of the two things that are read from the platform.
@@ -37,13 +41,14 @@
 	// confirmed is the moment for which this host's knowledge is known to be
 	// complete; 0 before any.
 	confirmed timekeeper.Instant
-	reading   bool
-	backoff   time.Duration
+	// staleAt is when a first answer came that may have been seconds old.
+	staleAt timekeeper.Instant
+	reading bool
+	backoff time.Duration
 	// retryDeadline is when the next read may begin after a failed one.
 	retryDeadline timekeeper.Instant
 	// urgent asks for a read whatever the age.
 	urgent bool
-	failed bool
 }
 
 // reading decides when this host reads the platform.
@@ -63,32 +68,49 @@
 	r.targets.retryDeadline = until
 }
 
-// due reports whether a source is to be read now.
-func (src *source) due(now timekeeper.Instant, patience time.Duration) bool {
+// due reports whether a source is to be read now. What may be stale is taken to be as
+// old as the first reader lets knowledge grow, so that this one reads again at once and
+// the others hear of it.
+func (src *source) due(now timekeeper.Instant, patience, firstPatience time.Duration) bool {
 	if src.reading || !src.retryDeadline.Passed(now) {
 		return false
 	}
-	return src.confirmed == 0 || src.urgent || now.Since(src.confirmed) > patience
+	switch {
+	case src.urgent:
+		return true
+	case src.confirmed != 0:
+		return now.Since(src.confirmed) > patience
+	case src.staleAt != 0:
+		return now.Since(src.staleAt)+firstPatience > patience
+	}
+	return true
 }
 
+// unread reports whether nothing was ever learned of a source.
+func (src *source) unread() bool { return src.confirmed == 0 && src.staleAt == 0 }
+
 func (src *source) begin() {
 	src.reading = true
 	src.urgent = false
 }
 
-// end takes in the outcome of a read.
-func (src *source) end(now, started timekeeper.Instant, failed bool, jitter float64) {
+// fail takes in that a read has failed. Jitter, from 0 to 1, keeps hosts that lost the
+// platform together from coming back together.
+func (src *source) fail(now timekeeper.Instant, fleetPause time.Duration, jitter float64) {
+	src.reading = false
+	src.backoff = min(max(2*src.backoff, firstReadBackoff), maxReadBackoff)
+	src.retryDeadline = now.Add(time.Duration(float64(max(src.backoff, fleetPause)) * (0.5 + jitter)))
+}
+
+// succeed takes in that a read has succeeded.
+func (src *source) succeed(now, started timekeeper.Instant, mayBeStale bool) {
 	src.reading = false
-	src.failed = failed
-	if failed {
-		src.backoff = min(max(2*src.backoff, firstReadBackoff), maxReadBackoff)
-		// Jitter keeps hosts that lost the platform together from coming back
-		// together.
-		src.retryDeadline = now.Add(time.Duration(float64(src.backoff) * (0.5 + jitter)))
-		return
-	}
 	src.backoff = 0
 	src.retryDeadline = 0
+	if mayBeStale {
+		src.staleAt = now
+		return
+	}
 	src.confirmed = max(src.confirmed, started)
 }
 
@@ -102,27 +124,50 @@
 // died, were cut off or are turned away, reads for itself.
 func (s *Steerer) readingTick() {
 	rank := s.rank()
-	if s.reading.settings.due(s.now, s.patience(rank, s.config.SettingsWithin)) {
-		s.reading.settings.begin()
+	settings, targets := &s.reading.settings, &s.reading.targets
+	if s.due(settings, rank, s.config.SettingsWithin) {
+		settings.begin()
 		s.counts.add(SettingsReads)
-		s.emit(&ReadSettings{})
+		s.emit(&ReadSettings{MayBeStale: settings.unread()})
 	}
-	if s.reading.targets.due(s.now, s.patience(rank, s.config.DrainingWithin)) {
-		s.reading.targets.begin()
+	if s.due(targets, rank, s.config.DrainingWithin) {
+		targets.begin()
 		s.counts.add(TargetsReads)
-		s.emit(&ReadTargets{})
+		s.emit(&ReadTargets{MayBeStale: targets.unread()})
 	}
 }
 
+// due reports whether a source is to be read now, if its changes must be known within
+// a time.
+func (s *Steerer) due(src *source, rank int, within time.Duration) bool {
+	return src.due(s.now, s.patience(rank, within), s.patience(0, within))
+}
+
+// fleetPause is the pause of each host between two reads that fail, so that the fleet
+// together makes some ten a second.
+//
+// What goes wrong without it: the platform is down for some seconds, and three hundred
+// hosts ask it five hundred times a second whether it is back. All these calls are in
+// its way when it comes back. The first host that reads it tells the others, so each
+// need not ask often. A host that hears nobody asks as if it were alone.
+func (s *Steerer) fleetPause() time.Duration {
+	return time.Duration(s.hostsHeardOf()) * fleetRetryEvery
+}
+
 // patience is how old this host's knowledge may grow before it reads, if changes
 // must be known within a time.
 func (s *Steerer) patience(rank int, within time.Duration) time.Duration {
-	own := float64(xxhash.Sum64String(s.config.Self)>>32) / (1 << 32)
-	latest := time.Duration(float64(within) * (latestShare + latestSpread*own))
+	latest := time.Duration(float64(within) * (latestShare + latestSpread*s.ownPart()))
 	first := time.Duration(float64(within) * readShare)
 	return min(first+time.Duration(rank)*readRankStep, latest)
 }
 
+// ownPart is this host's own number from 0 to 1, which is as likely to be any as any
+// other.
+func (s *Steerer) ownPart() float64 {
+	return float64(xxhash.Sum64String(s.config.Self)>>32) / (1 << 32)
+}
+
 // noteRead logs when the platform is lost and regained.
 func (s *Steerer) noteRead(what string, err error) {
 	r := &s.reading
@@ -148,8 +193,16 @@
 	r.returnedAt = s.now
 }
 
+func (s *Steerer) endRead(src *source, started timekeeper.Instant, mayBeStale bool, err error) {
+	if err != nil {
+		src.fail(s.now, s.fleetPause(), s.random.Float64())
+		return
+	}
+	src.succeed(s.now, started, mayBeStale)
+}
+
 func (s *Steerer) settingsRead(e *SettingsRead) {
-	s.reading.settings.end(s.now, e.Started, e.Err != nil, s.random.Float64())
+	s.endRead(&s.reading.settings, e.Started, e.MayBeStale, e.Err)
 	s.noteRead("settings", e.Err)
 	if e.Settings != nil {
 		s.adopt(e.Settings, e.Document, "platform")
@@ -187,7 +240,7 @@
 }
 
 func (s *Steerer) targetsRead(e *TargetsRead) {
-	s.reading.targets.end(s.now, e.Started, e.Err != nil, s.random.Float64())
+	s.endRead(&s.reading.targets, e.Started, e.MayBeStale, e.Err)
 	s.noteRead("targets", e.Err)
 	if e.Err != nil {
 		return
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -137,6 +137,7 @@
 	case *HostAnswered:
 		s.hostAnswered(event)
 	case *Tick:
+		s.noteTransfers(event.TransfersReceived, event.TransfersSent)
 		s.tick()
 	case *Shutdown:
 		s.beginLeaving()
