Open flows do not wait for the settings

Ruled out: the platform (it answers at once), a rank or question that hosts wait for (none in the log).

While the settings are unknown a packet of an open flow goes where its tag says. New flows still need their route.

Test: TestOpenFlowsDoNotWaitForSettings.

--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -45,6 +45,8 @@
 	// staleReads counts those of reads that may have been seconds old.
 	staleReads int
 	asks       int
+	// settingsTake is how long a read of the settings takes; hop if 0.
+	settingsTake time.Duration
 	// answerTakes is how long a host takes to answer another; hop if 0.
 	answerTakes time.Duration
 	// asking counts the questions of each host that are under way, mostAsking the most
@@ -305,7 +307,7 @@
 	if f.answers(name) {
 		event.Settings, event.Document, event.Err = f.settings, []byte{byte(f.settings.Version)}, nil
 	}
-	f.after(hop, func() { f.reduce(name, event) })
+	f.after(max(hop, f.settingsTake), func() { f.reduce(name, event) })
 }
 
 func (f *fleet) readTargets(name string, mayBeStale bool) {
--- a/core/steerer/holding.go
+++ b/core/steerer/holding.go
@@ -69,6 +69,9 @@
 		return
 	}
 	s.held = slices.DeleteFunc(s.held, func(h heldPacket) bool {
+		if s.passUnrouted(&h.packet) {
+			return true
+		}
 		late := h.deadline.Passed(s.now)
 		if late {
 			s.dropUnknowing(&h.packet, "tooLong")
--- a/core/steerer/holding_test.go
+++ b/core/steerer/holding_test.go
@@ -42,6 +42,30 @@
 	require.NotZero(t, f.hosts["a1"].sent[1].tag)
 }
 
+// Symptom: after a loss of all hosts nobody's feed goes on for two seconds. Sequence: the
+// hosts have small links, and read a large document of settings; their targets they know
+// after some milliseconds. Cause: packets of open flows that wait for settings, though
+// their tags say where they go.
+func TestOpenFlowsDoNotWaitForSettings(t *testing.T) {
+	f := newFleet(t, 1)
+	open, early := f.caller(1, readRoute), f.caller(2, checkRoute)
+	for _, c := range []*caller{open, early} {
+		c.open("a1", 0)
+		c.establish("a1")
+	}
+	f.settingsTake = 2 * time.Second
+	startBlind(f, "a1", func() { early.ask("a1") })
+	f.step(steerer.TickEvery)
+	open.ask("a1")
+	require.Len(t, f.hosts["a1"].sent, 2)
+	require.Equal(t, early.target, f.hosts["a1"].sent[0].target, "it came before the targets were known")
+	require.Equal(t, open.target, f.hosts["a1"].sent[1].target)
+	fresh := f.caller(3, checkRoute)
+	fresh.open("a1", 0)
+	require.Len(t, f.hosts["a1"].sent, 2, "a new flow needs its route")
+	require.False(t, f.hosts["a1"].steerer.Ready())
+}
+
 // Symptom: targets get flows that nobody uses, and checks. Sequence: a caller's
 // packet and its repeat both wait for the host's first read; the repeat looks like
 // a sign that the first packet was lost. Cause: repeats kept beside the first.
