Reports stay in the zone, first lists are no news, the next readers hear of reads

Found by counting in one process: a round of reports was meant to go half to the own zone, but its order is one of all hosts, so four of five went elsewhere and a peer's loads came every 18 s; after a start all targets of the first list were told as changes for 3 s (23 KB a second and host, 8 later); each first report of a host was answered.

Three of four reports of a round go to the own zone, each order by itself. A first list is no news. Only a host that knows nothing is answered at once in a large fleet. Reports say how old the word of other hosts is, so that few reports between zones keep the ranks right. A read of the platform is told at once to the next three in rank, which otherwise read as well before they hear of it.

--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -35,8 +35,11 @@
 	// Quick names, by tag, the targets that answered the sender more quickly than
 	// they can work.
 	Quick []uint32 `cbor:"quick,omitempty"`
-	// Hosts names some hosts that the sender hears.
+	// Hosts names some hosts that live as far as the sender knows.
 	Hosts []HostHint `cbor:"hosts,omitempty"`
+	// HostAgeTenths says of each of Hosts, in tenths of a second, how long ago it last
+	// reported to anybody; the sender heard from it just now if there is no entry.
+	HostAgeTenths []uint8 `cbor:"hostAges,omitempty"`
 }
 
 // TargetState is a target as the platform listed it at revision Seen.
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -58,7 +58,9 @@
 	// Unreachable counts the targets that did not answer.
 	Unreachable int
 	Peers       int
-	Version     uint64
+	// Live counts those of the other hosts that live as far as anybody says.
+	Live    int
+	Version uint64
 	// SettingsAge and TargetsAge tell for how long settings and targets have not
 	// been confirmed.
 	SettingsAge time.Duration
@@ -72,7 +74,7 @@
 
 // Snapshot returns the present figures.
 func (s *Steerer) Snapshot() Snapshot {
-	snapshot := Snapshot{Counts: s.counts, Flows: len(s.flows), Targets: len(s.targets.byID), Peers: len(s.peers.byName), Version: s.version()}
+	snapshot := Snapshot{Counts: s.counts, Flows: len(s.flows), Targets: len(s.targets.byID), Peers: len(s.peers.byName), Live: s.hostsHeardOf(), Version: s.version()}
 	snapshot.SettingsAge = age(s.now, s.reading.settings.confirmed)
 	snapshot.TargetsAge = age(s.now, s.reading.targets.confirmed)
 	snapshot.Ready = s.Ready()
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -56,6 +56,10 @@
 	// maxAnswers bounds the questions that a host answers at once; 0 is any.
 	maxAnswers int
 	probes     int
+	// reports counts the reports that hosts sent each other, farReports those that went
+	// to another zone.
+	reports    int
+	farReports int
 	// reportBytes counts what hosts sent each other, sealed; -1 to leave it.
 	reportBytes int
 }
@@ -344,7 +348,11 @@
 	if f.reportBytes >= 0 {
 		f.reportBytes += sealedBytes(f.t, e)
 	}
+	f.reports++
 	for _, other := range f.names {
+		if f.hosts[other].address == e.Address && other[0] != name[0] {
+			f.farReports++
+		}
 		if f.hosts[other].address == e.Address && !f.cut[[2]string{name, other}] {
 			f.after(hop, func() { f.reduce(other, &steerer.ReportReceived{From: name, Report: &report}) })
 		}
--- a/core/steerer/herd_test.go
+++ b/core/steerer/herd_test.go
@@ -1,6 +1,7 @@
 package steerer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -124,3 +125,58 @@
 	stall(f, read)
 	require.NotEmpty(t, f.hosts["a1"].resets, "the link is free again")
 }
+
+// Symptom: traffic between zones costs a tenth of what a fleet of 300 hosts is worth, and
+// hosts choose targets by loads of their zone that are seconds old. Sequence: a fleet of
+// five zones is quiet. Cause: each host tells all others in turn, of which four of five
+// are in other zones.
+func TestMostReportsOfALargeFleetStayInTheirZone(t *testing.T) {
+	f := newFleet(t, 12, 12, 12, 12, 12)
+	f.step(3 * time.Second)
+	f.reports, f.farReports = 0, 0
+	f.step(5 * time.Second)
+	require.Less(t, float64(f.farReports), 0.25*float64(f.reports))
+	f.settings = settingsOf(2, routes()[:2])
+	f.step(2 * time.Second)
+	for _, name := range f.names {
+		require.Equal(t, uint64(2), f.hosts[name].steerer.Snapshot().Version, name)
+	}
+}
+
+// Symptom: for three seconds after a loss of all hosts of a large fleet they tell each
+// other 23 KB a second each, and 8 KB later. Sequence: all hosts learn their targets from
+// the platform. Cause: what every host has just read told as news.
+func TestFirstListIsNoNews(t *testing.T) {
+	f := newFleet(t, 8, 8, 8)
+	for n := range 300 {
+		f.addTarget(fmt.Sprintf("i-4%07x", n), "ledger", "a")
+	}
+	f.step(6 * time.Second)
+	f.reportBytes = 0
+	f.step(2 * time.Second)
+	quiet := f.reportBytes
+	for _, name := range f.names {
+		f.kill(name)
+		f.start(name)
+	}
+	f.step(500 * time.Millisecond)
+	f.reportBytes = 0
+	f.step(2 * time.Second)
+	require.Less(t, f.reportBytes, 2*quiet)
+}
+
+// Symptom: hosts of a large fleet think that others are gone which live, or count dead
+// ones for long; the reader of the platform changes all the time. Sequence: most reports
+// come from the own zone. Cause: hosts are mentioned by those only who hear them, or with
+// no word of how long ago that was.
+func TestHostsOfOtherZonesAreKnownToLive(t *testing.T) {
+	f := newFleet(t, 20, 20, 20, 20)
+	f.step(20 * time.Second)
+	live := f.hosts["a1"].steerer.Snapshot().Live
+	require.GreaterOrEqual(t, live, 70, "of 79 others")
+	for _, name := range f.names[40:] {
+		f.kill(name)
+	}
+	f.step(25 * time.Second)
+	require.Equal(t, 39, f.hosts["a1"].steerer.Snapshot().Live)
+}
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -59,7 +59,9 @@
 		field("revision", utoa(s.targetsRevision)), field("from", from))
 }
 
-// takeRecord takes in the state of a target as seen at a revision.
+// takeRecord takes in the state of a target as seen at a revision. The first list is no
+// news to others: told like changes, it would fill the reports of each host that starts
+// for changeMemory, and all of them after a loss of all hosts.
 func (s *Steerer) takeRecord(record Target, seen uint64, from string) {
 	known, ok := s.targets.byID[record.ID]
 	if ok && !known.missing && known.same(record) {
@@ -78,8 +80,8 @@
 		s.beginLife(t, from)
 	}
 	t.warmUpDeadline = s.now.Add(record.WarmUp)
-	s.peers.changed(t, s.now)
 	if s.targetsRevision != 0 {
+		s.peers.changed(t, s.now)
 		s.log("targetChanged", field("target", t.ID), field("service", t.Service), field("address", t.Address.String()),
 			field("draining", btoa(t.Draining)), field("revision", utoa(seen)), field("from", from))
 	}
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -19,12 +20,15 @@
 	// a host that waits for another's read must hear of it in time.
 	farReportEvery = 300 * time.Millisecond
 	// smallFleet is how many other hosts a host tells one by one. In a larger fleet
-	// it tells reportFanout of them a round, half of them in its own zone, so that
+	// it tells reportFanout of them a round, nearFanout of them in its own zone, so that
 	// its control traffic does not grow with the fleet: 16 reports a second of
 	// some 400 bytes. News then takes about as many rounds as the fleet has digits
 	// to the base of reportFanout + 1.
 	smallFleet   = 12
+	// One host of any zone a round takes news to each other zone within a round or two,
+	// since all hosts of a zone tell it; the rest stays where traffic has no price.
 	reportFanout = 4
+	nearFanout   = 3
 	// maxChanges bounds the changes in a report, so that it fits a datagram.
 	maxChanges = 10
 	// changeMemory is how long a change is repeated in reports.
@@ -48,8 +52,13 @@
 	// seedEvery is the time between two reports to an address from which nothing
 	// is heard.
 	seedEvery = time.Second
+	// nextReaders is how many hosts, next in rank, hear of a read of the platform at once:
+	// as many as would read within the time that the news takes to all.
+	nextReaders = 3
 	// maxHints bounds the hosts that a report names.
 	maxHints = 8
+	// hintAgeUnit is the unit in which reports say how long ago a host was heard.
+	hintAgeUnit = 100 * time.Millisecond
 )
 
 // peer is what a host knows of another.
@@ -90,9 +99,10 @@
 	// changeTurn is where the next report begins among changes.
 	changeTurn int
 	seeds      map[netip.AddrPort]timekeeper.Instant
-	// roundDeadline is when the next round of a larger fleet begins, order and
-	// turn whom it tells.
+	// roundDeadline is when the next round of a larger fleet begins. nearOrder and order
+	// are the hosts of the own zone, and all, that have not had their turn yet.
 	roundDeadline timekeeper.Instant
+	nearOrder     []*peer
 	order         []*peer
 }
 
@@ -127,23 +137,49 @@
 // and hosts with equal or unknown ones by their names.
 func (s *Steerer) rank() int {
 	rank := 0
-	own := xxhash.Sum64String(s.config.Self)
 	silence := s.mentionSilence()
 	for _, p := range s.peers.ordered() {
-		if !p.mentioned(s.now, silence) {
-			continue
-		}
-		first := xxhash.Sum64String(p.name) < own
-		if p.link != 0 && p.link != s.config.LinkBytesPerSecond {
-			first = p.link > s.config.LinkBytesPerSecond
-		}
-		if first {
+		if p.mentioned(s.now, silence) && s.readsBefore(p) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// readsBefore reports whether another host has a lower rank than this one.
+func (s *Steerer) readsBefore(p *peer) bool {
+	if p.link != 0 && p.link != s.config.LinkBytesPerSecond {
+		return p.link > s.config.LinkBytesPerSecond
+	}
+	return xxhash.Sum64String(p.name) < xxhash.Sum64String(s.config.Self)
+}
+
+// tellNextReaders reports a read of the platform to the hosts that would read next.
+//
+// What goes wrong if they learn of it with all others: in a large fleet the news takes
+// some rounds of reports, and the second, third and fourth in rank have read by then.
+func (s *Steerer) tellNextReaders() {
+	if len(s.peers.byName) <= smallFleet {
+		return // Everybody is told in time.
+	}
+	var next []*peer
+	silence := s.mentionSilence()
+	for _, p := range s.peers.ordered() {
+		if p.mentioned(s.now, silence) && !s.readsBefore(p) {
+			next = append(next, p)
+		}
+	}
+	slices.SortStableFunc(next, func(x, y *peer) int {
+		if c := cmp.Compare(y.link, x.link); c != 0 {
+			return c
+		}
+		return cmp.Compare(xxhash.Sum64String(x.name), xxhash.Sum64String(y.name))
+	})
+	for _, p := range next[:min(len(next), nextReaders)] {
+		s.sendReport(p)
+	}
+}
+
 // mentionSilence is after how long a host that nobody mentions does not count.
 func (s *Steerer) mentionSilence() time.Duration {
 	all := len(s.peers.byName)
@@ -170,15 +206,16 @@
 	return count
 }
 
-// notePeer returns the record of a host, which it makes if there is none.
-func (s *Steerer) notePeer(name string, address netip.AddrPort) *peer {
+// notePeer returns the record of a host, which it makes if there is none. The host
+// reported to somebody so long ago.
+func (s *Steerer) notePeer(name string, address netip.AddrPort, age time.Duration) *peer {
 	p, ok := s.peers.byName[name]
 	if !ok {
 		p = &peer{name: name, address: address}
 		s.peers.byName[name] = p
 		s.peers.sorted = nil
 	}
-	p.lives = s.now
+	p.lives = max(p.lives, s.now.Add(-age))
 	return p
 }
 
@@ -195,7 +232,7 @@
 		}
 	case p.news || p.roundDeadline.Passed(s.now):
 		p.roundDeadline = s.now.Add(reportEvery)
-		s.reportRound(all)
+		s.reportRound()
 	}
 	p.news = false
 	s.reportToSeeds()
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -207,6 +207,16 @@
 	if e.Settings != nil {
 		s.adopt(e.Settings, e.Document, "platform")
 	}
+	if e.Err == nil {
+		s.tellOfRead(e.MayBeStale)
+	}
+}
+
+// tellOfRead tells the next readers of a read, once for reads that began together.
+func (s *Steerer) tellOfRead(mayBeStale bool) {
+	if !mayBeStale && !s.reading.settings.reading && !s.reading.targets.reading {
+		s.tellNextReaders()
+	}
 }
 
 // adopt puts a version in force unless a newer one is.
@@ -246,4 +256,5 @@
 		return
 	}
 	s.takeList(e.List)
+	s.tellOfRead(e.MayBeStale)
 }
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,15 +15,15 @@
 		return
 	}
 	r := e.Report
-	p := s.notePeer(e.From, r.Address)
+	p := s.notePeer(e.From, r.Address, 0)
 	// An older incarnation's report may be late. But clocks step back: a host that
 	// starts anew after that has a lower incarnation, and would be ignored for good.
 	if r.Incarnation < p.incarnation && p.hears(s.now) {
 		return
 	}
-	if p.heard == 0 || s.now.Since(p.heard) > peerMemory || p.incarnation != r.Incarnation {
+	fresh := p.heard == 0 || s.now.Since(p.heard) > peerMemory || p.incarnation != r.Incarnation
+	if fresh {
 		s.log("peerHeard", field("peer", p.name), field("zone", r.AvailabilityZone), field("incarnation", utoa(r.Incarnation)), field("version", utoa(r.Version)))
-		p.nextDeadline = 0 // It may know nothing yet, so it is answered at once.
 	}
 	p.address = r.Address
 	p.zone = r.AvailabilityZone
@@ -35,14 +36,14 @@
 	p.digest = r.TargetsDigest
 	s.takeBusy(p, r.Busy)
 	s.takeQuick(p, r.Quick)
-	for _, hint := range r.Hosts {
-		if hint.Name != s.config.Self {
-			s.notePeer(hint.Name, hint.Address)
-		}
-	}
+	s.takeHints(r)
 	s.compareSettings(r)
 	s.compareTargets(r, p.name)
-	if p.nextDeadline == 0 {
+	// It may know nothing yet. In a large fleet one that knows all need not hear from
+	// each host that it reports to for the first time.
+	knowsNothing := r.Version == 0 || r.TargetsRevision == 0
+	if fresh && (knowsNothing || len(s.peers.byName) <= smallFleet) {
+		p.nextDeadline = 0
 		s.reportIfDue(p)
 	}
 	s.askingTick()
@@ -139,30 +140,42 @@
 	}
 }
 
-// reportRound tells some hosts of a larger fleet, each as often as the others:
-// half of them in the own zone, where loads matter, half anywhere.
-func (s *Steerer) reportRound(all []*peer) {
-	p := &s.peers
+// reportRound tells some hosts of a larger fleet: most of them in the own zone, where
+// loads matter, the others anywhere.
+//
+// What goes wrong if all hosts are told as often as each other: in a fleet of five zones
+// four of five reports go to another zone, where traffic is priced, and news of the own
+// zone's loads is seconds old.
+func (s *Steerer) reportRound() {
+	near := s.tellSome(&s.peers.nearOrder, nearFanout, func(p *peer) bool { return p.zone == s.config.AvailabilityZone })
+	s.tellSome(&s.peers.order, reportFanout-near, func(*peer) bool { return true })
+}
+
+// tellSome reports to the next hosts of an order, which it makes anew of some hosts when
+// all have had their turn. It returns how many were told.
+func (s *Steerer) tellSome(order *[]*peer, count int, of func(*peer) bool) int {
 	told := 0
-	for home := range 2 {
-		for n := 0; n < len(all) && told < (home+1)*reportFanout/2; n++ {
-			if len(p.order) == 0 {
-				p.order = slices.Clone(all)
-				s.random.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
-			}
-			at := slices.IndexFunc(p.order, func(one *peer) bool { return home == 1 || one.zone == s.config.AvailabilityZone })
-			if at < 0 {
-				break
-			}
-			one := p.order[at]
-			p.order = slices.Delete(p.order, at, at+1)
-			if one.leaving || s.peers.byName[one.name] != one {
-				continue
-			}
-			s.sendReport(one)
-			told++
+	for range s.peers.ordered() {
+		if told == count {
+			break
+		}
+		if len(*order) == 0 {
+			*order = slices.DeleteFunc(slices.Clone(s.peers.ordered()), func(p *peer) bool { return !of(p) })
+			s.random.Shuffle(len(*order), func(i, j int) { (*order)[i], (*order)[j] = (*order)[j], (*order)[i] })
+		}
+		if len(*order) == 0 {
+			break
+		}
+		last := len(*order) - 1
+		one := (*order)[last]
+		*order = (*order)[:last]
+		if one.leaving || s.peers.byName[one.name] != one {
+			continue
 		}
+		s.sendReport(one)
+		told++
 	}
+	return told
 }
 
 // reportIfDue sends a host a report if it is time or if there is news.
@@ -212,9 +225,9 @@
 		TargetsRevision:    s.targetsRevision,
 		TargetsAge:         age(s.now, s.reading.targets.confirmed),
 		TargetsDigest:      s.targets.digest(),
-		Hosts:              s.hints(to),
 		Version:            s.version(),
 	}
+	s.addHints(r, to)
 	// Any of the changes, not the latest: those of one moment are told by turns.
 	changes := s.peers.changes
 	for i := range min(len(changes), maxChanges) {
@@ -229,25 +242,46 @@
 	return r
 }
 
-// hints names some hosts that this one hears, others each time.
-func (s *Steerer) hints(to *peer) []messenger.HostHint {
-	var hints []messenger.HostHint
+// addHints names some hosts that live as far as this one knows, others each time, with
+// how long ago each was heard by anybody. What is told of a host that died grows old
+// wherever it goes.
+func (s *Steerer) addHints(r *messenger.Report, to *peer) {
 	all := s.peers.ordered()
 	if len(all) == 0 {
-		return nil
+		return
 	}
+	silence := s.mentionSilence()
 	start := s.random.IntN(len(all))
 	for i := range all {
 		p := all[(start+i)%len(all)]
-		if p.name == to.name || !p.hears(s.now) {
+		if p.name == to.name || !p.mentioned(s.now, silence) {
 			continue
 		}
-		hints = append(hints, messenger.HostHint{Name: p.name, Address: p.address})
-		if len(hints) == maxHints {
+		r.Hosts = append(r.Hosts, messenger.HostHint{Name: p.name, Address: p.address})
+		r.HostAgeTenths = append(r.HostAgeTenths, tenths(s.now.Since(p.lives)))
+		if len(r.Hosts) == maxHints {
 			break
 		}
 	}
-	return hints
+}
+
+// tenths writes a time in tenths of a second, rounded up.
+func tenths(d time.Duration) uint8 {
+	return uint8(min((d+hintAgeUnit-1)/hintAgeUnit, math.MaxUint8))
+}
+
+// takeHints learns of other hosts.
+func (s *Steerer) takeHints(r *messenger.Report) {
+	for i, hint := range r.Hosts {
+		if hint.Name == s.config.Self {
+			continue
+		}
+		age := time.Duration(0)
+		if i < len(r.HostAgeTenths) {
+			age = time.Duration(r.HostAgeTenths[i]) * hintAgeUnit
+		}
+		s.notePeer(hint.Name, hint.Address, age)
+	}
 }
 
 // busy counts this host's requests under way by target.
