--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -48,6 +48,11 @@
 	{"overload", true, overload},
 }
 
+// newestFaults come with Config.Newest only.
+var newestFaults = []fault{
+	{"forgetHistory", true, forgetHistory},
+}
+
 func (s *soak) host() *process { return s.fleet.hosts[s.pick(len(s.fleet.hosts))] }
 
 func (s *soak) span(most time.Duration) time.Duration {
@@ -322,6 +327,22 @@
 	return fmt.Sprintf("%s of %s", value, id)
 }
 
+// blindSpan is how long the store tells no changes before it drops its history.
+const blindSpan = time.Second
+
+// forgetHistory has the store drop its history while a target is replaced, so that
+// nobody is ever told of that as a change.
+func forgetHistory(ctx context.Context, s *soak) string {
+	forgotten := make(chan struct{})
+	go func() {
+		s.fleet.store.Forget(blindSpan)
+		close(forgotten)
+	}()
+	replaced := replaceTarget(ctx, s)
+	<-forgotten
+	return replaced
+}
+
 // overload lets every target take twenty times as long, so that more is asked of them
 // than they can do.
 func overload(ctx context.Context, s *soak) string {
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -58,6 +58,8 @@
 	// Later lets faults come that were added after the kept seeds: these would play
 	// other runs with them.
 	Later bool
+	// Newest lets all faults come, Later's too, for the same reason.
+	Newest bool
 	// Gap is the mean pause between two faults.
 	Gap time.Duration
 	// NoFailures makes every attempt that is not answered a problem.
@@ -301,6 +303,9 @@
 		if s.config.Later {
 			kinds = slices.Concat(faults, laterFaults)
 		}
+		if s.config.Newest {
+			kinds = slices.Concat(faults, laterFaults, newestFaults)
+		}
 		f := kinds[s.pick(len(kinds))]
 		if len(s.config.Only) > 0 && !slices.Contains(s.config.Only, f.name) {
 			continue
--- a/standin/soak_test.go
+++ b/standin/soak_test.go
@@ -93,3 +93,14 @@
 		Only: []string{"restartTarget", "foreignEntry", "overload"},
 	})
 }
+
+// Symptom: callers are cut, or targets that left get flows, after the store has dropped
+// its history. Sequence: it tells no changes for a second, in which a target is replaced,
+// and then knows nothing of what came before; hosts start meanwhile.
+func TestDroppedHistoryBreaksNothing(t *testing.T) {
+	t.Parallel()
+	soakOnce(t, soaker.Config{
+		Seed: 7, Block: 70, Zones: []int{2, 2}, Duration: 8 * time.Second, Gap: 900 * time.Millisecond, Newest: true,
+		Only: []string{"forgetHistory", "publish", "terminate"}, NoFailures: true,
+	})
+}
