--- a/core/steerer/holding.go
+++ b/core/steerer/holding.go
@@ -31,6 +31,22 @@
 // knows reports whether this host has learned where packets go.
 func (s *Steerer) knows() bool { return s.settings != nil && s.targetsRevision != 0 }
 
+// passUnrouted passes on a packet of an open flow while this host knows targets and no
+// settings yet, and reports whether it has. The tag alone says where the packet goes.
+//
+// What goes wrong if it waits for the settings: after a loss of all hosts a document of
+// 400 KB keeps hosts with links of 2 Mbit/s for two seconds, and every feed of callers
+// with it. Nothing is remembered of the flow: without its route nothing can be concluded
+// from it.
+func (s *Steerer) passUnrouted(p *Packet) bool {
+	to, ok := s.targets.byTag[p.Tag]
+	if !ok || p.opens() || s.targetsRevision == 0 {
+		return false
+	}
+	s.sendTarget(to, 0, p.Data)
+	return true
+}
+
 // hold keeps a packet until this host knows where it goes.
 //
 // What goes wrong if it is dropped: after a loss of all hosts callers have repeated
--- a/core/steerer/reading_test.go
+++ b/core/steerer/reading_test.go
@@ -271,7 +271,7 @@
 	started := f.now
 	for slices.ContainsFunc(f.names, func(name string) bool { return !f.hosts[name].steerer.Ready() }) {
 		f.step(steerer.TickEvery)
-		require.Less(t, f.now.Since(started), 2200*time.Millisecond, "1.9 s with questions at random, 2.5 s with all to one")
+		require.Less(t, f.now.Since(started), 1200*time.Millisecond, "1.05 s with questions at random, 1.4 s with all to one")
 	}
 }
 
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -29,22 +29,6 @@
 	s.laterPacket(p)
 }
 
-// passUnrouted passes on a packet of an open flow while this host knows targets and no
-// settings yet, and reports whether it has. The tag alone says where the packet goes.
-//
-// What goes wrong if it waits for the settings: after a loss of all hosts a document of
-// 400 KB keeps hosts with links of 2 Mbit/s for two seconds, and every feed of callers
-// with it. Nothing is remembered of the flow: without its route nothing can be concluded
-// from it.
-func (s *Steerer) passUnrouted(p *Packet) bool {
-	to, ok := s.targets.byTag[p.Tag]
-	if !ok || p.opens() || s.targetsRevision == 0 {
-		return false
-	}
-	s.sendTarget(to, 0, p.Data)
-	return true
-}
-
 // openingPacket chooses a target for a new flow, or for the copy of an opening
 // packet.
 func (s *Steerer) openingPacket(p *Packet) {
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -111,7 +111,7 @@
 without "ranks among readers" steerer/reading.go 'rank := s.rank()' 'rank := 0' TestReadsDoNotGrowWithTheFleet
 without "reads of its own at the latest" steerer/reading.go 'return min(first+time.Duration(rank)*readRankStep, latest)' '_ = latest
 	return first + time.Hour' TestEachSideOfACutReads
-without "questions to other hosts" steerer/asking.go 'if p == nil || !s.asking.deadline.Passed(s.now) {' 'if true {' 'TestHostsThatStartWhileThePlatformIsDown|TestVersionReachesHostsThatAreTurnedAway'
+without "questions to other hosts" steerer/asking.go 'if s.asking.asked || !s.asking.deadline.Passed(s.now) {' 'if true {' 'TestHostsThatStartWhileThePlatformIsDown|TestVersionReachesHostsThatAreTurnedAway'
 without "the delay of the end" steerer/leaving.go 'if !l.begun || l.ended || !l.earliest.Passed(s.now) {' 'if !l.begun || l.ended {' TestLeavingHostPassesPacketsOnUntilTheFabricHasNoticed
 without "only removed routes" steerer/steering.go 'if !routed && s.removed[p.Service] {' 'if !routed {' TestOpenFlowOfAnUnknownRouteGoesOn
 without "load of flows that have not opened" steerer/target.go 't.busy + t.opening + t.peersBusy' 't.busy + t.peersBusy' TestCrashedTargetDoesNotAttractFlows
@@ -127,7 +127,7 @@
 without "routes that stay as they were" steerer/reading.go 'settings = settings.keeping(s.settings)' '' TestRouteThatCannotBeReadStaysAsItWas
 without "the notice of quick answers" steerer/choosing.go 'if s.failsWork(t) {' 'if false {' TestTargetThatFailsAtOnceGetsFewFlows
 without "word of quick answers" steerer/reports.go 's.takeQuick(p, r.Quick)' '' TestQuickAnswersAreToldToTheZonesHosts
-without "large links before small ones" steerer/peers.go 'first = p.link > s.config.LinkBytesPerSecond' '' TestHostsWithLargeLinksRead
+without "large links before small ones" steerer/peers.go 'return p.link > s.config.LinkBytesPerSecond' '' TestHostsWithLargeLinksRead
 without "questions for targets that are gone" steerer/asking.go 'p = s.goneInformant()' 'p = nil' TestHostThatStartsLearnsOfTargetsThatAreGone
 without "what is usual on the path" steerer/path.go 'openingGrowth*s.path.opening.median' '0' TestFarCallersDoNotMakeThePathSlow
 without "the end of what was believed of an earlier life" steerer/listing.go 'if reborn {' 'if reborn && from == "" {' 'TestTargetThatStartsAgainIsUsedAtOnce|TestRequestsOfAnEarlierLifeAreNoLoad|TestRestartIsKnownOnEveryHost'
@@ -152,6 +152,17 @@
 without "refusals that are no failures" steerer/quickness.go 'u.tooQuick(took) && !pressed' 'u.tooQuick(took)' TestRefusalsOfAPressedServiceAreNoFailures
 without "distrust of what waited during a pause" steerer/steering.go 'if s.stale(p) {' 'if false {' TestHostThatStoodStillPassesNothingOldOn
 without "distrust of load after a pause" steerer/load.go '|| !s.pause.trustDeadline.Passed(s.now) {' '{' TestPausedHostDoesNotTakeItsOwnDelayForLoad
+without "one question at a time" steerer/asking.go 'if s.asking.asked || !s.asking' 'if !s.asking' TestOneQuestionIsUnderWayAtATime
+without "patience with other hosts" steerer/asking.go 'share := behindShare + behindSpread*s.ownPart()' 'share := 0.1 + 0*s.ownPart()' TestChangeIsAskedOfOtherHosts
+without "pauses that grow with the fleet" steerer/reading.go 'max(src.backoff, fleetPause)' 'src.backoff+0*fleetPause' TestOutageIsNotAskedAboutByAllHosts
+without "first reads that may be stale" steerer/reading.go '&ReadSettings{MayBeStale: settings.unread()}' '&ReadSettings{}' TestFirstReadsMayBeStaleAndOneHostBringsThemUpToDate
+without "distrust during transfers" steerer/path.go 'if rate > 0 && float64(max(received, sent))' 'if rate < 0 && float64(max(received, sent))' TestTransferOfTheHostItselfBlamesNobody
+without "open flows before the settings" steerer/holding.go 'if !ok || p.opens() || s.targetsRevision == 0 {' 'if true || !ok {' TestOpenFlowsDoNotWaitForSettings
+without "reports that stay in the zone" steerer/peers.go 'nearFanout   = 3' 'nearFanout   = 0' TestMostReportsOfALargeFleetStayInTheirZone
+without "ages of what is told of hosts" steerer/reports.go 'time.Duration(r.HostAgeTenths[i]) * hintAgeUnit' '0 * time.Duration(r.HostAgeTenths[i])' TestHostsOfOtherZonesAreKnownToLive
+without "first lists as no news" steerer/listing.go 'if s.targetsRevision != 0 {
+		s.peers.changed' 'if true {
+		s.peers.changed' TestFirstListIsNoNews
 
 package=pacer
 without "the gradient of the window" pacer/pacer.go 'next := l.window*gradient + headroom' 'next := l.window + headroom + 0*gradient' TestCrowdFindsShortQueues
