Reads are numbered, so that knowledge ages; spanctl knowledge

A test of mine for the status of hosts failed: a host that reads itself was told by another that its knowledge was confirmed later than its own read. Each report makes a confirmation younger by the time that it is on its way, and it comes back and is told again: with reports that take 60 ms, sixteen hosts think after 20 s without the platform that their knowledge is 11.8 s old. Ruled out: a least gain of 100 ms (13.4 s).

Each read of the platform has a number, and keeps the earliest moment told of it. Word of hosts in other zones may take 5 s before they are thought gone. spanctl knowledge shows version, revision, age, from whom, rank, and whether the platform is lost.

Test: TestKnowledgeAgesWhileNobodyReads, more than 19.8 s of 20.

--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -122,7 +122,8 @@
 	if r.metrics.exporter, err = exporter.New(config.AdminAddress, config.Name, flushEvery); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
-	r.metrics.exporter.Mux.HandleFunc("GET /targets", r.serveTargets)
+	r.metrics.exporter.Mux.HandleFunc("GET /targets", serveState(r, (*steerer.Steerer).TargetStatuses))
+	r.metrics.exporter.Mux.HandleFunc("GET /knowledge", serveState(r, (*steerer.Steerer).KnowledgeStatus))
 	r.metrics.latencies = map[string]tally.Histogram{}
 	r.transport = r.transportCounters()
 	return r, nil
--- /dev/null
+++ b/balancer/internal/flowrunner/state.go
@@ -0,0 +1,24 @@
+package flowrunner
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"cranberryspan.dev/core/steerer"
+	"go.uber.org/zap"
+)
+
+// serveState answers operators with a part of the host's state, as JSON.
+func serveState[T any](r *Runner, look func(*steerer.Steerer) T) http.HandlerFunc {
+	return func(w http.ResponseWriter, request *http.Request) {
+		var state T
+		if err := r.inspector.Inspect(request.Context(), func(s *steerer.Steerer) { state = look(s) }); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(state); err != nil {
+			r.log.Write("adminAnswerFailed", zap.String("path", request.URL.Path), zap.Error(err))
+		}
+	}
+}
--- a/balancer/internal/flowrunner/targets_test.go
+++ b/balancer/internal/flowrunner/state_test.go
@@ -21,7 +21,7 @@
 		look.Run(steerer.New(steerer.Config{}))
 	}()
 	answer := httptest.NewRecorder()
-	r.serveTargets(answer, httptest.NewRequest(http.MethodGet, "/targets", nil))
+	serveState(r, (*steerer.Steerer).TargetStatuses)(answer, httptest.NewRequest(http.MethodGet, "/targets", nil))
 	<-done
 	require.Equal(t, http.StatusOK, answer.Code)
 	require.JSONEq(t, "[]", answer.Body.String())
--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -19,12 +19,16 @@
 	Leaving bool `cbor:"leave,omitempty"`
 	// Version is of the settings in force at the sender; SettingsAge is how long
 	// ago the platform is known to have had no newer one.
-	Version     uint64        `cbor:"ver,omitempty"`
-	SettingsAge time.Duration `cbor:"verAge,omitempty"`
+	// SettingsRead is the number of the read that has shown it, 0 if unknown.
+	Version      uint64        `cbor:"ver,omitempty"`
+	SettingsAge  time.Duration `cbor:"verAge,omitempty"`
+	SettingsRead uint64        `cbor:"verRead,omitempty"`
 	// TargetsRevision is the platform's revision that the sender's list of targets
-	// reflects, TargetsAge how long ago the list is known to have been complete.
+	// reflects, TargetsAge how long ago the list is known to have been complete, and
+	// TargetsRead the number of the read that has shown it, 0 if unknown.
 	TargetsRevision uint64        `cbor:"rev,omitempty"`
 	TargetsAge      time.Duration `cbor:"revAge,omitempty"`
+	TargetsRead     uint64        `cbor:"revRead,omitempty"`
 	// TargetsDigest is equal at hosts that know the same of all targets.
 	TargetsDigest uint64 `cbor:"dig,omitempty"`
 	// Changes are the latest changes of targets.
@@ -89,12 +93,15 @@
 	// Version and Document are of the settings in force, as they were published;
 	// Document is compressed with gzip (RFC 1952), and empty if Version is not
 	// above the one asked for.
-	Version     uint64        `cbor:"ver,omitempty"`
-	Document    []byte        `cbor:"gz,omitempty"`
-	SettingsAge time.Duration `cbor:"verAge,omitempty"`
+	Version  uint64 `cbor:"ver,omitempty"`
+	Document []byte `cbor:"gz,omitempty"`
+	// SettingsAge and SettingsRead, TargetsAge and TargetsRead are as in Report.
+	SettingsAge  time.Duration `cbor:"verAge,omitempty"`
+	SettingsRead uint64        `cbor:"verRead,omitempty"`
 	// Revision is the platform's revision that Targets reflect.
-	Revision   uint64        `cbor:"rev,omitempty"`
-	TargetsAge time.Duration `cbor:"revAge,omitempty"`
+	Revision    uint64        `cbor:"rev,omitempty"`
+	TargetsAge  time.Duration `cbor:"revAge,omitempty"`
+	TargetsRead uint64        `cbor:"revRead,omitempty"`
 	// Targets travel in Packed, as CBOR compressed with gzip: thousands of them say
 	// much the same.
 	Targets []TargetState `cbor:"-"`
--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -195,7 +195,7 @@
 		s.adopt(e.Settings, e.Document, e.From)
 	}
 	if k.Version == s.version() && k.Version != 0 {
-		s.confirm(&s.reading.settings, k.SettingsAge)
+		s.confirm(&s.reading.settings, k.SettingsRead, k.SettingsAge, e.From)
 	}
 	if k.Revision == 0 {
 		return
@@ -208,7 +208,7 @@
 	}
 	first := s.targetsRevision == 0
 	s.targetsRevision = k.Revision
-	s.confirm(&s.reading.targets, k.TargetsAge)
+	s.confirm(&s.reading.targets, k.TargetsRead, k.TargetsAge, e.From)
 	if first {
 		s.logFirstTargets(e.From)
 	}
@@ -217,8 +217,9 @@
 // Knowledge answers another host's question. The document is not compressed yet.
 func (s *Steerer) Knowledge(request *messenger.KnowledgeRequest) *messenger.Knowledge {
 	k := &messenger.Knowledge{
-		Version:     s.version(),
-		SettingsAge: age(s.now, s.reading.settings.confirmed),
+		Version:      s.version(),
+		SettingsAge:  age(s.now, s.reading.settings.confirmed),
+		SettingsRead: s.reading.settings.confirmedRead,
 	}
 	if k.Version > request.Above {
 		k.Document = s.document
@@ -232,6 +233,7 @@
 	}
 	k.Revision = s.targetsRevision
 	k.TargetsAge = age(s.now, s.reading.targets.confirmed)
+	k.TargetsRead = s.reading.targets.confirmedRead
 	// What was seen later than the other's revision includes all that has changed
 	// since: a state is never seen before it comes about.
 	for _, t := range s.targets.ordered() {
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -47,6 +47,8 @@
 	asks       int
 	// settingsTake is how long a read of the settings takes; hop if 0.
 	settingsTake time.Duration
+	// reportTakes is how long a report is on its way; hop if 0.
+	reportTakes time.Duration
 	// answerTakes is how long a host takes to answer another; hop if 0.
 	answerTakes time.Duration
 	// asking counts the questions of each host that are under way, mostAsking the most
@@ -354,7 +356,7 @@
 			f.farReports++
 		}
 		if f.hosts[other].address == e.Address && !f.cut[[2]string{name, other}] {
-			f.after(hop, func() { f.reduce(other, &steerer.ReportReceived{From: name, Report: &report}) })
+			f.after(max(hop, f.reportTakes), func() { f.reduce(other, &steerer.ReportReceived{From: name, Report: &report}) })
 		}
 	}
 }
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -1,5 +1,45 @@
 package steerer
 
+import "time"
+
+// KnowledgeStatus is what a host knows of settings and targets, and from whom, for
+// operators.
+type KnowledgeStatus struct {
+	Host             string `json:"host"`
+	AvailabilityZone string `json:"availabilityZone"`
+	// Version is of the settings in force, 0 without any. SettingsFrom is where they
+	// came from: "platform", or a host's name.
+	Version      uint64 `json:"version"`
+	SettingsFrom string `json:"settingsFrom,omitempty"`
+	// SettingsAge is how long ago the platform is known to have had no newer ones,
+	// SettingsConfirmedBy who said so.
+	SettingsAge         time.Duration `json:"settingsAge"`
+	SettingsConfirmedBy string        `json:"settingsConfirmedBy,omitempty"`
+	// Revision is the platform's that the list of targets reflects.
+	Revision           uint64        `json:"revision"`
+	TargetsAge         time.Duration `json:"targetsAge"`
+	TargetsConfirmedBy string        `json:"targetsConfirmedBy,omitempty"`
+	// Rank is the host's place among those that read the platform, 0 the first, and Live
+	// how many others live as far as it knows.
+	Rank int `json:"rank"`
+	Live int `json:"live"`
+	// PlatformLost says that the platform answers neither this host nor one that it
+	// hears of.
+	PlatformLost bool `json:"platformLost"`
+}
+
+// KnowledgeStatus returns what this host knows at present.
+func (s *Steerer) KnowledgeStatus() KnowledgeStatus {
+	settings, targets := &s.reading.settings, &s.reading.targets
+	return KnowledgeStatus{
+		Host: s.config.Self, AvailabilityZone: s.config.AvailabilityZone,
+		Version: s.version(), SettingsFrom: s.settingsFrom,
+		SettingsAge: age(s.now, settings.confirmed), SettingsConfirmedBy: settings.confirmedBy,
+		Revision: s.targetsRevision, TargetsAge: age(s.now, targets.confirmed), TargetsConfirmedBy: targets.confirmedBy,
+		Rank: s.rank(), Live: s.hostsHeardOf(), PlatformLost: s.reading.failedSince != 0,
+	}
+}
+
 // TargetStatus is what a host believes of a target, for operators.
 type TargetStatus struct {
 	Target           string `json:"target"`
--- a/core/steerer/inspecting_test.go
+++ b/core/steerer/inspecting_test.go
@@ -37,3 +37,23 @@
 	require.Contains(t, avoided[silent.target], "no answer for")
 	require.Empty(t, avoided["i-20000001"])
 }
+
+// Operators ask why a host is behind: what it knows, how old that is, and from whom.
+func TestStatusTellsFromWhomAHostKnows(t *testing.T) {
+	f := newFleet(t, 2)
+	f.turnedAway["a2"] = true
+	f.settings = settingsOf(2, routes())
+	f.step(3 * time.Second)
+	reader, other := f.hosts["a1"].steerer.KnowledgeStatus(), f.hosts["a2"].steerer.KnowledgeStatus()
+	require.Equal(t, uint64(2), other.Version)
+	require.Equal(t, "platform", reader.SettingsFrom)
+	require.Equal(t, "a1", other.SettingsFrom)
+	require.Equal(t, "platform", reader.TargetsConfirmedBy)
+	require.Equal(t, "a1", other.TargetsConfirmedBy)
+	require.Less(t, other.SettingsAge, 3*time.Second)
+	require.Equal(t, 1, other.Live)
+	require.Equal(t, 1, reader.Rank+other.Rank)
+	f.turnedAway["a1"] = true
+	f.step(3 * time.Second)
+	require.True(t, f.hosts["a1"].steerer.KnowledgeStatus().PlatformLost)
+}
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -33,16 +33,16 @@
 	listed := make(map[string]bool, len(list.Targets))
 	for _, record := range list.Targets {
 		listed[record.ID] = true
-		s.takeRecord(record, list.Revision, "platform")
+		s.takeRecord(record, list.Revision, fromPlatform)
 	}
 	for _, t := range s.targets.ordered() {
 		if !listed[t.ID] && !t.missing && t.seen < list.Revision {
-			s.takeMissing(t, list.Revision, "platform")
+			s.takeMissing(t, list.Revision, fromPlatform)
 		}
 	}
 	s.targetsRevision = list.Revision
 	if first {
-		s.logFirstTargets("platform")
+		s.logFirstTargets(fromPlatform)
 	}
 }
 
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -42,9 +42,11 @@
 	// peerMemory is after how long a host that nobody mentions is forgotten.
 	peerMemory = 60 * time.Second
 	// shortMentionSilence is after how long a host that nobody mentions does not count
-	// for rank, in a small fleet. A larger one mentions each host more rarely, by
-	// maxHints in each of some 16 reports a second.
+	// for rank, in a small fleet. In a larger one word of a host goes from zone to zone by
+	// one report of a round, which takes up to longMentionSilence, and each host is
+	// mentioned more rarely, by maxHints in each of some 16 reports a second.
 	shortMentionSilence = time.Second
+	longMentionSilence  = 5 * time.Second
 	mentionsASecond     = 4 * reportFanout * maxHints
 	// mentionsMissed is how many mentions must fail to come: one in e^8 hosts that
 	// live is missed.
@@ -203,7 +205,7 @@
 	if all <= smallFleet {
 		return shortMentionSilence
 	}
-	return max(shortMentionSilence, time.Second*mentionsMissed*time.Duration(all)/mentionsASecond)
+	return longMentionSilence + time.Second*mentionsMissed*time.Duration(all)/mentionsASecond
 }
 
 // mentioned reports whether a host lives as far as anybody says.
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -36,11 +36,22 @@
 	fleetRetryEvery = 100 * time.Millisecond
 )
 
+// fromPlatform stands in logs and status for what was read from the platform.
+const fromPlatform = "platform"
+
 // source is one of the two things that are read from the platform.
 type source struct {
 	// confirmed is the moment for which this host's knowledge is known to be
 	// complete; 0 before any.
 	confirmed timekeeper.Instant
+	// confirmedBy is "platform", or the host that said so, and confirmedRead the number
+	// of the read that has shown it.
+	confirmedBy   string
+	confirmedRead uint64
+	// known are the reads that this host has heard of last, at turn the one that the next
+	// takes the place of.
+	known [knownReads]knownRead
+	turn  int
 	// staleAt is when a first answer came that may have been seconds old.
 	staleAt timekeeper.Instant
 	reading bool
@@ -51,6 +62,48 @@
 	urgent bool
 }
 
+// knownRead is a read of the platform by any host, and the earliest moment at which it
+// may have begun, as far as this host was told.
+type knownRead struct {
+	number uint64
+	moment timekeeper.Instant
+}
+
+// knownReads is how many reads a host tells apart: more than there are readers between
+// two reads of the first.
+const knownReads = 16
+
+// confirm takes in that a read, by this host or another, has shown that what is known
+// was complete at a moment.
+//
+// What goes wrong if any later moment is taken: a host's own confirmation comes back from
+// another, later by the time that reports are on their way, and is told again. Where
+// hosts are busy, knowledge looks fresh for as long as anybody reports, and nobody reads.
+// So a read keeps the earliest moment that anybody has told of it.
+func (src *source) confirm(read uint64, moment timekeeper.Instant, by string) {
+	moment = src.earliest(read, moment)
+	if moment > src.confirmed {
+		src.confirmed, src.confirmedBy, src.confirmedRead = moment, by, read
+	}
+}
+
+// earliest returns the earliest moment told of a read. Hosts that do not number their
+// reads tell 0.
+func (src *source) earliest(read uint64, moment timekeeper.Instant) timekeeper.Instant {
+	if read == 0 {
+		return moment
+	}
+	for i := range src.known {
+		if one := &src.known[i]; one.number == read {
+			one.moment = min(one.moment, moment)
+			return one.moment
+		}
+	}
+	src.known[src.turn] = knownRead{read, moment}
+	src.turn = (src.turn + 1) % knownReads
+	return moment
+}
+
 // reading decides when this host reads the platform.
 type reading struct {
 	settings source
@@ -103,7 +156,7 @@
 }
 
 // succeed takes in that a read has succeeded.
-func (src *source) succeed(now, started timekeeper.Instant, mayBeStale bool) {
+func (src *source) succeed(now, started timekeeper.Instant, mayBeStale bool, number uint64) {
 	src.reading = false
 	src.backoff = 0
 	src.retryDeadline = 0
@@ -111,7 +164,7 @@
 		src.staleAt = now
 		return
 	}
-	src.confirmed = max(src.confirmed, started)
+	src.confirm(number, started, fromPlatform)
 }
 
 // readingTick starts the reads that are due.
@@ -198,14 +251,14 @@
 		src.fail(s.now, s.fleetPause(), s.random.Float64())
 		return
 	}
-	src.succeed(s.now, started, mayBeStale)
+	src.succeed(s.now, started, mayBeStale, s.random.Uint64())
 }
 
 func (s *Steerer) settingsRead(e *SettingsRead) {
 	s.endRead(&s.reading.settings, e.Started, e.MayBeStale, e.Err)
 	s.noteRead("settings", e.Err)
 	if e.Settings != nil {
-		s.adopt(e.Settings, e.Document, "platform")
+		s.adopt(e.Settings, e.Document, fromPlatform)
 	}
 	if e.Err == nil {
 		s.tellOfRead(e.MayBeStale)
@@ -241,6 +294,7 @@
 	})
 	s.settings = settings
 	s.document = document
+	s.settingsFrom = from
 	s.asking.behindSince = 0
 	s.log("settingsAdopted", field("version", utoa(settings.Version)), field("routes", itoa(len(settings.Routes))), field("from", from))
 	for _, fault := range settings.Faults {
--- a/core/steerer/reading_test.go
+++ b/core/steerer/reading_test.go
@@ -306,3 +306,18 @@
 	late.open("a1", 0)
 	require.Empty(t, late.target, "version 3 has no such route")
 }
+
+// Symptom: nobody reads the platform for longer and longer, and changes come into force
+// late on all hosts. Sequence: hosts tell each other how old their knowledge is; each
+// report is on its way for a while, most when hosts and links are busy. Cause: what comes
+// back from another looks newer by the time on the way, and is told again.
+func TestKnowledgeAgesWhileNobodyReads(t *testing.T) {
+	f := newFleet(t, 8, 8)
+	f.step(3 * time.Second)
+	f.reportTakes = 60 * time.Millisecond
+	f.down = true
+	f.step(20 * time.Second)
+	for _, name := range f.names {
+		require.Greater(t, f.hosts[name].steerer.Snapshot().TargetsAge, 19800*time.Millisecond, name)
+	}
+}
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -37,7 +37,7 @@
 	s.takeBusy(p, r.Busy)
 	s.takeQuick(p, r.Quick)
 	s.takeHints(r)
-	s.compareSettings(r)
+	s.compareSettings(r, p.name)
 	s.compareTargets(r, p.name)
 	// It may know nothing yet. In a large fleet one that knows all need not hear from
 	// each host that it reports to for the first time.
@@ -77,12 +77,12 @@
 }
 
 // compareSettings learns from a report how new the own settings are.
-func (s *Steerer) compareSettings(r *messenger.Report) {
+func (s *Steerer) compareSettings(r *messenger.Report, from string) {
 	switch {
 	case r.Version > s.version():
 		s.noteBehind()
 	case r.Version == s.version() && r.Version != 0:
-		s.confirm(&s.reading.settings, r.SettingsAge)
+		s.confirm(&s.reading.settings, r.SettingsRead, r.SettingsAge, from)
 	}
 }
 
@@ -99,17 +99,18 @@
 		return
 	}
 	if r.TargetsDigest == s.targets.digest() {
-		s.confirm(&s.reading.targets, r.TargetsAge)
+		s.confirm(&s.reading.targets, r.TargetsRead, r.TargetsAge, from)
 		s.targetsRevision = max(s.targetsRevision, r.TargetsRevision)
 	}
 }
 
-// confirm takes over another host's confirmation if it is newer.
-func (s *Steerer) confirm(src *source, age time.Duration) {
+// confirm takes over another host's confirmation if it is newer: the number of a read of
+// the platform, and how long ago it was.
+func (s *Steerer) confirm(src *source, read uint64, age time.Duration, from string) {
 	if age >= unknownAge {
 		return
 	}
-	src.confirmed = max(src.confirmed, s.now.Add(-age))
+	src.confirm(read, s.now.Add(-age), from)
 	if failed := s.reading.failedSince; failed != 0 && src.confirmed > failed {
 		s.regained("peer")
 	}
@@ -222,8 +223,10 @@
 		LinkBytesPerSecond: s.config.LinkBytesPerSecond,
 		Leaving:            s.leaving.begun,
 		SettingsAge:        age(s.now, s.reading.settings.confirmed),
+		SettingsRead:       s.reading.settings.confirmedRead,
 		TargetsRevision:    s.targetsRevision,
 		TargetsAge:         age(s.now, s.reading.targets.confirmed),
+		TargetsRead:        s.reading.targets.confirmedRead,
 		TargetsDigest:      s.targets.digest(),
 		Version:            s.version(),
 	}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -61,6 +61,8 @@
 
 	settings *Settings
 	document []byte
+	// settingsFrom is where they came from: fromPlatform, or a host's name.
+	settingsFrom string
 	// removed names the addresses of routes that a later version dropped.
 	removed map[netip.AddrPort]bool
 
--- a/operator/internal/printer/routes.go
+++ b/operator/internal/printer/routes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"cranberryspan.dev/core/steerer"
 )
@@ -80,3 +81,32 @@
 		}
 	})
 }
+
+// HostKnowledge is what one host knows, or why it said nothing.
+type HostKnowledge struct {
+	Admin     string                   `json:"admin"`
+	Knowledge *steerer.KnowledgeStatus `json:"knowledge,omitempty"`
+	Error     string                   `json:"error,omitempty"`
+}
+
+// Knowledge writes what hosts know of settings and targets, and from whom.
+func (p Printer) Knowledge(hosts []HostKnowledge) error {
+	return p.print(hosts, func(w io.Writer) {
+		row(w, "HOST", "NAME", "VERSION", "FROM", "AGE", "CONFIRMED BY", "REVISION", "AGE", "CONFIRMED BY", "RANK", "LIVE", "PLATFORM")
+		for _, h := range hosts {
+			if h.Error != "" {
+				row(w, h.Admin, h.Error)
+				continue
+			}
+			k, platform := h.Knowledge, "answers"
+			if k.PlatformLost {
+				platform = "lost"
+			}
+			row(w, h.Admin, k.Host, k.Version, k.SettingsFrom, rounded(k.SettingsAge), k.SettingsConfirmedBy,
+				k.Revision, rounded(k.TargetsAge), k.TargetsConfirmedBy, k.Rank, k.Live, platform)
+		}
+	})
+}
+
+// rounded writes an age for people.
+func rounded(age time.Duration) string { return age.Round(10 * time.Millisecond).String() }
--- a/operator/main.go
+++ b/operator/main.go
@@ -64,6 +64,7 @@
 			{Name: "diff", Usage: "list what a change alters and what it does to flows", ArgsUsage: "OLD NEW", Action: diff(out)},
 			{Name: "routes", Usage: "show published routes, or what a change of them does to flows", ArgsUsage: "FILE [NEW]", Action: routes(out)},
 			{Name: "status", Usage: "show the state of hosts", ArgsUsage: "ADMIN...", Action: status(out)},
+			{Name: "knowledge", Usage: "show which version and revision hosts of the flow edge know, how old that is, and from whom", ArgsUsage: "ADMIN...", Action: knowledge(out)},
 			{Name: "targets", Usage: "show what hosts of the flow edge believe of their targets, and why new flows avoid some", ArgsUsage: "ADMIN...", Action: targets(out)},
 			{Name: "flows", Usage: "list flows that a host remembers", ArgsUsage: "ADMIN", Action: flows(out), Flags: []cli.Flag{
 				&cli.IntFlag{Name: "limit", Value: 20, Usage: "how many at most"},
@@ -245,6 +246,32 @@
 	}
 }
 
+func knowledge(out io.Writer) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		p, err := prepareHosts(out, command)
+		if err != nil {
+			return err
+		}
+		var hosts []printer.HostKnowledge
+		hostAsker := asker.New()
+		failure := askEach(command, func(admin string) error {
+			host := printer.HostKnowledge{Admin: admin}
+			known, err := hostAsker.Knowledge(ctx, admin)
+			if err != nil {
+				host.Error = err.Error()
+			} else {
+				host.Knowledge = &known
+			}
+			hosts = append(hosts, host)
+			return err
+		})
+		if err := p.Knowledge(hosts); err != nil {
+			return err
+		}
+		return failure
+	}
+}
+
 // prepareHosts checks that hosts are named and makes the printer.
 func prepareHosts(out io.Writer, command *cli.Command) (printer.Printer, error) {
 	if command.Args().Len() == 0 {
--- a/operator/main_test.go
+++ b/operator/main_test.go
@@ -178,3 +178,18 @@
 	code, _, _ = spanctl("targets")
 	require.Equal(t, exitUsage, code)
 }
+
+func TestKnowledgeOfHosts(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "/knowledge", r.URL.Path)
+		_, _ = io.WriteString(w, `{"host":"edge-7","version":12,"settingsFrom":"edge-3","settingsAge":1234000000,"revision":130,"targetsConfirmedBy":"platform","rank":4,"live":294,"platformLost":true}`)
+	}))
+	defer host.Close()
+	code, out, _ := spanctl("knowledge", strings.TrimPrefix(host.URL, "http://"), "127.0.0.1:1")
+	require.Equal(t, exitUnreachable, code)
+	for _, part := range []string{"edge-7", "12", "edge-3", "1.23s", "130", "platform", "294", "lost"} {
+		require.Contains(t, out, part)
+	}
+	code, _, _ = spanctl("knowledge")
+	require.Equal(t, exitUsage, code)
+}
