First reads that come slowly are left to others; ranks know links

A first read that gets less than a random share of the host's link, up to 0.4 of it, is left to others, so that as many go on as the platform serves at full speed; others are asked. Reports tell the links of the hosts that they mention. Seeds are told every 0.2 s while a host knows nothing, and name hosts that know: the log shows hosts that heard of others a second after their start, since the seeds were up later. Random choices differ between hosts that start in the same moment.

--- a/balancer/internal/fetcher/fetcher.go
+++ b/balancer/internal/fetcher/fetcher.go
@@ -14,8 +14,8 @@
 
 // Platform is what a host asks of its platform.
 type Platform interface {
-	ReadSettings(ctx context.Context, mayBeStale bool) (*steerer.Settings, []byte, error)
-	ReadTargets(ctx context.Context, mayBeStale bool) (steerer.TargetList, error)
+	ReadSettings(ctx context.Context, options steerer.ReadOptions) (*steerer.Settings, []byte, error)
+	ReadTargets(ctx context.Context, options steerer.ReadOptions) (steerer.TargetList, error)
 	Check(ctx context.Context, target string, address netip.AddrPort, path string) steerer.ProbeOutcome
 }
 
@@ -51,19 +51,19 @@
 
 // ReadSettings starts a read of the settings.
 func (f *Fetcher) ReadSettings(ctx context.Context, e *steerer.ReadSettings) {
-	platform, mayBeStale := f.platform, e.MayBeStale
+	platform, options := f.platform, e.Options
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
-		settings, document, err := platform.ReadSettings(ctx, mayBeStale)
-		return &steerer.SettingsRead{Started: started, MayBeStale: mayBeStale, Settings: settings, Document: document, Err: err}
+		settings, document, err := platform.ReadSettings(ctx, options)
+		return &steerer.SettingsRead{Started: started, MayBeStale: options.MayBeStale, Settings: settings, Document: document, Err: err}
 	})
 }
 
 // ReadTargets starts a read of the list of targets.
 func (f *Fetcher) ReadTargets(ctx context.Context, e *steerer.ReadTargets) {
-	platform, mayBeStale := f.platform, e.MayBeStale
+	platform, options := f.platform, e.Options
 	f.start(ctx, func(started timekeeper.Instant) steerer.Event {
-		list, err := platform.ReadTargets(ctx, mayBeStale)
-		return &steerer.TargetsRead{Started: started, MayBeStale: mayBeStale, List: list, Err: err}
+		list, err := platform.ReadTargets(ctx, options)
+		return &steerer.TargetsRead{Started: started, MayBeStale: options.MayBeStale, List: list, Err: err}
 	})
 }
 
--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -44,6 +44,9 @@
 	// HostAgeTenths says of each of Hosts, in tenths of a second, how long ago it last
 	// reported to anybody; the sender heard from it just now if there is no entry.
 	HostAgeTenths []uint8 `cbor:"hostAges,omitempty"`
+	// HostLinks says of each of Hosts what its link carries each way, in bytes a second;
+	// 0 if unknown.
+	HostLinks []int `cbor:"hostLinks,omitempty"`
 }
 
 // TargetState is a target as the platform listed it at revision Seen.
--- a/core/steerer/effect.go
+++ b/core/steerer/effect.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 
@@ -40,17 +41,23 @@
 	Sequence uint32
 }
 
-// ReadSettings asks the platform for the newest settings.
-type ReadSettings struct {
+// ReadOptions says how to read the platform.
+type ReadOptions struct {
 	// MayBeStale allows an answer that is some seconds old.
 	MayBeStale bool
+	// AtLeastBytesPerSecond ends a long answer that comes more slowly, with ErrTooSlow; 0
+	// takes any time.
+	AtLeastBytesPerSecond int
 }
 
+// ErrTooSlow ends a read whose answer came more slowly than its options allow.
+var ErrTooSlow = errors.New("the answer comes too slowly")
+
+// ReadSettings asks the platform for the newest settings.
+type ReadSettings struct{ Options ReadOptions }
+
 // ReadTargets asks the platform for all targets.
-type ReadTargets struct {
-	// MayBeStale allows an answer that is some seconds old.
-	MayBeStale bool
-}
+type ReadTargets struct{ Options ReadOptions }
 
 // Probe checks whether a target lives.
 type Probe struct {
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -54,6 +54,9 @@
 	// seedEvery is the time between two reports to an address from which nothing
 	// is heard.
 	seedEvery = time.Second
+	// startSeedEvery is the same while this host does not know where packets go. Seeds
+	// that start at the same time may be up some tenths of a second later.
+	startSeedEvery = 200 * time.Millisecond
 	// nextReaders is how many hosts, next in rank, hear of a read of the platform at once:
 	// as many as would read within the time that the news takes to all.
 	nextReaders = 3
@@ -151,6 +154,9 @@
 	return p.heard != 0 && !p.leaving && now.Since(p.heard) < peerSilence
 }
 
+// knows reports whether a host had settings and targets at its last report.
+func (p *peer) knows() bool { return p.version != 0 && p.revision != 0 }
+
 // rank is the place of this host among those that live as far as it knows: those with
 // the larger links first, which a read of everything holds up for the shortest time,
 // and hosts with equal or unknown ones by their names.
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -201,12 +201,20 @@
 }
 
 // reportToSeeds reports to seed addresses at which no known host is.
+//
+// What goes wrong if a host that knows nothing does so seldom: all hosts start at once, its
+// first report comes before the seeds are up, and it hears a second later who could tell
+// it settings and targets.
 func (s *Steerer) reportToSeeds() {
+	every := seedEvery
+	if !s.knows() {
+		every = startSeedEvery
+	}
 	for _, seed := range s.config.Seeds {
 		if seed == s.config.Address || !s.peers.seeds[seed].Passed(s.now) {
 			continue
 		}
-		s.peers.seeds[seed] = s.now.Add(seedEvery)
+		s.peers.seeds[seed] = s.now.Add(every)
 		if slices.ContainsFunc(s.peers.ordered(), func(p *peer) bool { return p.address == seed }) {
 			continue
 		}
@@ -247,7 +255,7 @@
 
 // addHints names some hosts that live as far as this one knows, others each time, with
 // how long ago each was heard by anybody. What is told of a host that died grows old
-// wherever it goes.
+// wherever it goes. A host that knows nothing is told of those that know, if there are.
 func (s *Steerer) addHints(r *messenger.Report, to *peer) {
 	all := s.peers.ordered()
 	if len(all) == 0 {
@@ -255,13 +263,18 @@
 	}
 	silence := s.mentionSilence()
 	start := s.random.IntN(len(all))
+	helpful := func(*peer) bool { return true }
+	if !to.knows() && slices.ContainsFunc(all, (*peer).knows) {
+		helpful = (*peer).knows
+	}
 	for i := range all {
 		p := all[(start+i)%len(all)]
-		if p.name == to.name || !p.mentioned(s.now, silence) {
+		if p.name == to.name || !p.mentioned(s.now, silence) || !helpful(p) {
 			continue
 		}
 		r.Hosts = append(r.Hosts, messenger.HostHint{Name: p.name, Address: p.address})
 		r.HostAgeTenths = append(r.HostAgeTenths, tenths(s.now.Since(p.lives)))
+		r.HostLinks = append(r.HostLinks, p.link)
 		if len(r.Hosts) == maxHints {
 			break
 		}
@@ -283,7 +296,10 @@
 		if i < len(r.HostAgeTenths) {
 			age = time.Duration(r.HostAgeTenths[i]) * hintAgeUnit
 		}
-		s.notePeer(hint.Name, hint.Address, age)
+		p := s.notePeer(hint.Name, hint.Address, age)
+		if p.link == 0 && i < len(r.HostLinks) {
+			p.link = r.HostLinks[i]
+		}
 	}
 }
 
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -21,6 +21,7 @@
 
 	"cranberryspan.dev/core/recorder"
 	"cranberryspan.dev/core/timekeeper"
+	"github.com/cespare/xxhash/v2"
 )
 
 // TickEvery is how often a host sends Tick events. Stalls are noticed from
@@ -102,10 +103,12 @@
 
 // New makes the steerer of a host that has just started and knows nothing.
 func New(config Config) *Steerer {
+	// Hosts that start in the same moment with the same seed must not choose alike.
+	own := xxhash.Sum64String(config.Self)
 	s := &Steerer{
 		config:   config,
 		now:      config.Start,
-		random:   rand.New(rand.NewPCG(config.Seed, config.Incarnation)),
+		random:   rand.New(rand.NewPCG(config.Seed^own, config.Incarnation)),
 		removed:  map[netip.AddrPort]bool{},
 		targets:  newTable(),
 		flows:    map[flowKey]*flow{},
@@ -114,6 +117,7 @@
 		services: map[string]*service{},
 	}
 	s.pause.lastTick = config.Start
+	s.reading.leastShare = s.random.Float64()
 	if config.FirstStart && !slices.Contains(config.Seeds, config.Address) {
 		s.reading.wait(config.Start.Add(firstStartPatience))
 	}
