Targets are read before the settings; first reads are not left to others

The settings wait for the first read of the targets, 0.3 s at most: open flows need only these. A host of a small fleet is ready a read later, some 5 ms.

--- a/core/steerer/effect.go
+++ b/core/steerer/effect.go
@@ -1,7 +1,6 @@
 package steerer
 
 import (
-	"errors"
 	"net/netip"
 	"time"
 
@@ -45,14 +44,8 @@
 type ReadOptions struct {
 	// MayBeStale allows an answer that is some seconds old.
 	MayBeStale bool
-	// AtLeastBytesPerSecond ends a long answer that comes more slowly, with ErrTooSlow; 0
-	// takes any time.
-	AtLeastBytesPerSecond int
 }
 
-// ErrTooSlow ends a read whose answer came more slowly than its options allow.
-var ErrTooSlow = errors.New("the answer comes too slowly")
-
 // ReadSettings asks the platform for the newest settings.
 type ReadSettings struct{ Options ReadOptions }
 
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -1,7 +1,6 @@
 package steerer
 
 import (
-	"errors"
 	"maps"
 	"time"
 
@@ -28,12 +27,9 @@
 	// whole fleet starts for the first time. Nobody needs it yet, and a large fleet
 	// would call the platform twice for each host.
 	firstStartPatience = 2 * time.Second
-	// mostLeastShare bounds the share of its own link below which a host may leave a first
-	// read to others: above it, waiting for them gains nothing.
-	mostLeastShare = 0.4
-	// toldWithin is how long such a host waits for others: as long as they need for their
-	// reads, and two or three rounds of questions.
-	toldWithin = 800 * time.Millisecond
+	// targetsHeadStart is how long a first read of the settings waits for the targets at
+	// most: for some hundred KB on a small link.
+	targetsHeadStart = 300 * time.Millisecond
 	// firstReadBackoff and maxReadBackoff bound the pause after a failed read.
 	firstReadBackoff = 150 * time.Millisecond
 	maxReadBackoff   = 1200 * time.Millisecond
@@ -115,8 +111,6 @@
 type reading struct {
 	settings source
 	targets  source
-	// leastShare is the part of this host's link at which first reads go on.
-	leastShare float64
 	// failedSince is since when the platform has answered neither this host nor one
 	// that it learns from; 0 while it does.
 	failedSince timekeeper.Instant
@@ -187,41 +181,23 @@
 func (s *Steerer) readingTick() {
 	rank := s.rank()
 	settings, targets := &s.reading.settings, &s.reading.targets
-	if s.due(settings, rank, s.config.SettingsWithin) {
-		settings.begin()
-		s.counts.add(SettingsReads)
-		s.emit(&ReadSettings{s.readOptions(settings)})
-	}
 	if s.due(targets, rank, s.config.DrainingWithin) {
 		targets.begin()
 		s.counts.add(TargetsReads)
-		s.emit(&ReadTargets{s.readOptions(targets)})
+		s.emit(&ReadTargets{ReadOptions{MayBeStale: targets.unread()}})
 	}
-}
-
-// readOptions says how to read a source.
-//
-// What goes wrong if all hosts of a large fleet that start at once read to the end: 300
-// of them share the platform's link, each gets a sixth of what its own link carries, and
-// all are ready at the same late moment, 1.3 s after their start. So a first read goes on
-// with the probability of the share that it gets, and as many go on as the platform's link
-// serves at full speed. The others are told by these. One notices by many hosts that
-// start together and need as long for their first reads as all of these need together.
-func (s *Steerer) readOptions(src *source) ReadOptions {
-	if !src.unread() {
-		return ReadOptions{}
+	if s.due(settings, rank, s.config.SettingsWithin) && !s.targetsFirst() {
+		settings.begin()
+		s.counts.add(SettingsReads)
+		s.emit(&ReadSettings{ReadOptions{MayBeStale: settings.unread()}})
 	}
-	least := min(s.reading.leastShare, mostLeastShare) * float64(s.config.LinkBytesPerSecond)
-	return ReadOptions{MayBeStale: true, AtLeastBytesPerSecond: int(least)}
 }
 
-// leaveReadToOthers ends a first read that came too slowly. Others that read at the same
-// time have more of the platform's link, and tell this host what they know.
-func (s *Steerer) leaveReadToOthers(src *source) {
-	src.reading = false
-	src.retryDeadline = s.now.Add(time.Duration(float64(toldWithin) * (0.5 + s.random.Float64())))
-	s.reading.leastShare = s.random.Float64()
-	s.log("readLeftToOthers", field("retryMillis", millis(src.retryDeadline.Since(s.now))))
+// targetsFirst reports whether the first read of the settings has to wait for that of the
+// targets. Open flows, most of what callers do, need the targets only, and share the
+// link, and the platform's, with a document that may be far larger.
+func (s *Steerer) targetsFirst() bool {
+	return s.reading.settings.unread() && s.reading.targets.reading && !s.config.Start.Add(targetsHeadStart).Passed(s.now)
 }
 
 // due reports whether a source is to be read now, if its changes must be known within
@@ -258,9 +234,6 @@
 // noteRead logs when the platform is lost and regained.
 func (s *Steerer) noteRead(what string, err error) {
 	r := &s.reading
-	if errors.Is(err, ErrTooSlow) {
-		return // The platform answers.
-	}
 	if err != nil {
 		s.counts.add(ReadsFailed)
 		if r.failedSince == 0 {
@@ -284,10 +257,6 @@
 }
 
 func (s *Steerer) endRead(src *source, started timekeeper.Instant, mayBeStale bool, err error) {
-	if errors.Is(err, ErrTooSlow) {
-		s.leaveReadToOthers(src)
-		return
-	}
 	if err != nil {
 		src.fail(s.now, s.fleetPause(), s.random.Float64())
 		return
@@ -347,6 +316,9 @@
 func (s *Steerer) targetsRead(e *TargetsRead) {
 	s.endRead(&s.reading.targets, e.Started, e.MayBeStale, e.Err)
 	s.noteRead("targets", e.Err)
+	if s.reading.settings.unread() {
+		s.readingTick() // They have waited for the targets.
+	}
 	if e.Err != nil {
 		return
 	}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -117,7 +117,6 @@
 		services: map[string]*service{},
 	}
 	s.pause.lastTick = config.Start
-	s.reading.leastShare = s.random.Float64()
 	if config.FirstStart && !slices.Contains(config.Seeds, config.Address) {
 		s.reading.wait(config.Start.Add(firstStartPatience))
 	}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -155,7 +155,7 @@
 without "one question at a time" steerer/asking.go 'if s.asking.asked || !s.asking' 'if !s.asking' TestOneQuestionIsUnderWayAtATime
 without "patience with other hosts" steerer/asking.go 'share := behindShare + behindSpread*s.ownPart()' 'share := 0.1 + 0*s.ownPart()' TestChangeIsAskedOfOtherHosts
 without "pauses that grow with the fleet" steerer/reading.go 'max(src.backoff, fleetPause)' 'src.backoff+0*fleetPause' TestOutageIsNotAskedAboutByAllHosts
-without "first reads that may be stale" steerer/reading.go 'ReadOptions{MayBeStale: true, AtLeastBytesPerSecond: int(least)}' 'ReadOptions{AtLeastBytesPerSecond: int(least)}' TestFirstReadsMayBeStaleAndOneHostBringsThemUpToDate
+without "first reads that may be stale" steerer/reading.go '&ReadSettings{ReadOptions{MayBeStale: settings.unread()}}' '&ReadSettings{}' TestFirstReadsMayBeStaleAndOneHostBringsThemUpToDate
 without "distrust during transfers" steerer/path.go 'if rate > 0 && float64(max(received, sent))' 'if rate < 0 && float64(max(received, sent))' TestTransferOfTheHostItselfBlamesNobody
 without "open flows before the settings" steerer/holding.go 'if !ok || p.opens() || s.targetsRevision == 0 {' 'if true || !ok {' TestOpenFlowsDoNotWaitForSettings
 without "reports that stay in the zone" steerer/peers.go 'nearFanout   = 3' 'nearFanout   = 0' TestMostReportsOfALargeFleetStayInTheirZone
@@ -163,7 +163,7 @@
 without "first lists as no news" steerer/listing.go 'if s.targetsRevision != 0 {
 		s.peers.changed' 'if true {
 		s.peers.changed' TestFirstListIsNoNews
-without "first reads left to others" steerer/reading.go 'least := min(s.reading.leastShare, mostLeastShare)' 'least := 0 * min(s.reading.leastShare, mostLeastShare)' TestFewReadToTheEndAndTellTheOthers
+without "targets before settings" steerer/reading.go '&& !s.targetsFirst() {' '{' TestTargetsAreReadBeforeTheSettings
 without "numbers of reads" steerer/reading.go 'moment = src.earliest(read, moment)' '' TestKnowledgeAgesWhileNobodyReads
 
 package=pacer
