--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -35,6 +35,12 @@
 	// of the platform's revision OrdersRevision; 0 if the sender does not know.
 	OrdersRevision uint64   `cbor:"ord,omitempty"`
 	Evacuated      []string `cbor:"evac,omitempty"`
+	// TargetsEra, OrdersEra and SettingsEra are the eras of the platform's history that
+	// TargetsRevision, OrdersRevision and the confirmation of Version belong to; 0 if the
+	// platform tells none.
+	TargetsEra  uint64 `cbor:"era,omitempty"`
+	OrdersEra   uint64 `cbor:"ordEra,omitempty"`
+	SettingsEra uint64 `cbor:"verEra,omitempty"`
 	// Changes are the latest changes of targets.
 	Changes []TargetState `cbor:"changes,omitempty"`
 	// Busy counts the sender's requests under way by the target's tag. Only hosts
@@ -45,6 +51,17 @@
 	Quick []uint32 `cbor:"quick,omitempty"`
 	// Silent names, by tag, the targets that the sender has found silent of late.
 	Silent []uint32 `cbor:"silent,omitempty"`
+	// Paces tells how fast the targets are that stand out. Only hosts of the sender's
+	// availability zone are told.
+	Paces []TargetPace `cbor:"paces,omitempty"`
+	// Demands is what the sender's callers ask of each service. Only hosts of its
+	// availability zone are told. ZoneDemands is what all callers of that zone ask, as far
+	// as the sender knows; only hosts of other zones are told.
+	Demands     []ServiceDemand `cbor:"demand,omitempty"`
+	ZoneDemands []ServiceDemand `cbor:"zoneDemand,omitempty"`
+	// Flows counts the sender's open flows by the target's tag, for services whose
+	// targets may run out of connections.
+	Flows map[uint32]uint16 `cbor:"flows,omitempty"`
 	// Uptime is how long ago the sender started.
 	Uptime time.Duration `cbor:"up,omitempty"`
 	// ZoneHosts is how many hosts of the receiver's availability zone, another than the
@@ -63,6 +80,36 @@
 	HostLinks []int `cbor:"hostLinks,omitempty"`
 }
 
+// TargetPace is how fast a target answers, as its sender has seen it of late.
+type TargetPace struct {
+	_   struct{} `cbor:",toarray"`
+	Tag uint32
+	// SlownessEighths is the binary logarithm, in eighths, of the target's time for a
+	// request as a multiple of what is usual: 8 is twice as slow, -8 twice as quick.
+	SlownessEighths int8
+	// Samples is how many recent answers that rests on.
+	Samples uint8
+}
+
+// ServiceDemand is what callers ask of a service.
+type ServiceDemand struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	// Flows is how many flows are open at the service's targets.
+	Flows uint32
+	// Asked is what new requests of each priority would keep busy.
+	Asked []PriorityDemand
+}
+
+// PriorityDemand is what callers of one priority ask.
+type PriorityDemand struct {
+	_        struct{} `cbor:",toarray"`
+	Priority int
+	// MilliSlots is the work asked for, in thousandths of a slot: requests a second times
+	// the time that a target works on one.
+	MilliSlots uint32
+}
+
 // TargetState is a target as the platform listed it at revision Seen.
 type TargetState struct {
 	_                struct{} `cbor:",toarray"`
@@ -80,6 +127,8 @@
 	Born int64
 	// Unreadable says of a missing target that an entry under its ID names no target.
 	Unreadable bool
+	// Era is the era of the platform's history that Seen belongs to; 0 if it tells none.
+	Era uint64
 }
 
 // HostHint tells where a host may be found.
@@ -100,6 +149,8 @@
 	// revision Since, up to which the sender knows all.
 	Targets bool   `cbor:"tgt,omitempty"`
 	Since   uint64 `cbor:"since,omitempty"`
+	// SinceEra is the era of the platform's history that Since belongs to.
+	SinceEra uint64 `cbor:"sinceEra,omitempty"`
 	// Gone asks for the targets that are no longer listed and that open flows may
 	// still name.
 	Gone bool `cbor:"gone,omitempty"`
@@ -116,7 +167,10 @@
 	SettingsAge  time.Duration `cbor:"verAge,omitempty"`
 	SettingsRead uint64        `cbor:"verRead,omitempty"`
 	// Revision is the platform's revision that Targets reflect.
-	Revision    uint64        `cbor:"rev,omitempty"`
+	Revision uint64 `cbor:"rev,omitempty"`
+	// TargetsEra and SettingsEra are as in Report.
+	TargetsEra  uint64        `cbor:"era,omitempty"`
+	SettingsEra uint64        `cbor:"verEra,omitempty"`
 	TargetsAge  time.Duration `cbor:"revAge,omitempty"`
 	TargetsRead uint64        `cbor:"revRead,omitempty"`
 	// Targets travel in Packed, as CBOR compressed with gzip: thousands of them say
--- a/core/steerer/explaining.go
+++ b/core/steerer/explaining.go
@@ -110,8 +110,13 @@
 	if service.WarmUpPerSecond > 0 {
 		warmUp = fmt.Sprintf("%g new flows a second", service.WarmUpPerSecond)
 	}
+	connections := "any number of flows at a target"
+	if service.MaxConnections > 0 {
+		connections = fmt.Sprintf("%d flows at a target", service.MaxConnections)
+	}
 	return []InForce{
 		{"liveness check of " + name, service.HealthPath, from},
+		{"connections of " + name, connections, from},
 		{"cold targets of " + name, fmt.Sprintf("for %v, %s", service.WarmUp, warmUp), from},
 	}
 }
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -205,7 +205,7 @@
 func (s *Steerer) resetWaiting(t *target) {
 	for _, key := range s.flowsTo(t) {
 		f := s.flows[key]
-		if !f.waiting && f.paced == nil || f.route.Kind != KindIdempotent {
+		if !f.waiting && f.paced == nil || !f.route.Kind.repeatable() {
 			continue
 		}
 		p := Packet{Caller: key.caller, Service: key.service, Acknowledged: f.acknowledged}
--- a/core/steerer/life.go
+++ b/core/steerer/life.go
@@ -63,7 +63,7 @@
 // keepRequest keeps a request that has begun, if it may run more than once and fits a
 // packet; see askAgain.
 func (f *flow) keepRequest(data []byte) {
-	if f.route.Kind == KindIdempotent && len(data) <= maxKeptRequest {
+	if f.route.Kind.repeatable() && len(data) <= maxKeptRequest {
 		f.request = slices.Clone(data)
 	}
 }
--- a/core/steerer/pacing.go
+++ b/core/steerer/pacing.go
@@ -35,7 +35,7 @@
 // them. Checks and uploads open a flow each, and are passed on at once, so that they
 // meet short queues at the targets.
 func (s *Steerer) mayPace(f *flow, v *service) bool {
-	if f.route.Kind != KindIdempotent || f.route.Timeout <= 0 {
+	if !f.route.Kind.repeatable() || f.route.Timeout <= 0 {
 		return false
 	}
 	if s.leaving.begun || f.target.health.unreachable() || s.paced >= maxPaced {
@@ -196,13 +196,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// wouldWait reports whether the request of a new flow would wait behind others that
-// wait at this host already.
-//
-// What goes wrong if the flow is taken: its caller waits for an answer that can't be in
-// time, and takes the place of one that can. Nothing has run, so it is told at once.
-// Open flows can't be refused; with fewer of them less has to wait.
-func (s *Steerer) wouldWait(route Route, to *target) bool {
-	return route.Kind == KindIdempotent && s.pressed(to.Service) && s.service(to.Service).paced > 0
-}
--- a/core/steerer/settings.go
+++ b/core/steerer/settings.go
@@ -21,8 +21,14 @@
 	KindNonIdempotent
 	// KindUpload requests carry much data and run at most once.
 	KindUpload
+	// KindDownload requests have large answers. They may run more than once, and callers
+	// repeat them after any failure.
+	KindDownload
 )
 
+// repeatable reports whether requests of the kind may run more than once.
+func (k Kind) repeatable() bool { return k == KindIdempotent || k == KindDownload }
+
 func (k Kind) String() string {
 	switch k {
 	case KindIdempotent:
@@ -31,6 +37,8 @@
 		return "nonIdempotent"
 	case KindUpload:
 		return "upload"
+	case KindDownload:
+		return "download"
 	}
 	return "unknown"
 }
@@ -85,6 +93,8 @@
 	// new flows a second it bears meanwhile; 0 is any number.
 	WarmUp          time.Duration
 	WarmUpPerSecond float64
+	// MaxConnections is how many flows each target holds at once; 0 is any number.
+	MaxConnections int
 }
 
 // Settings is one version of what operators published. It is immutable.
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -138,7 +138,7 @@
 	if s.observe(key, f, p) {
 		return
 	}
-	if to.health.unreachable() && f.route.Kind == KindIdempotent && p.Length > 0 {
+	if to.health.unreachable() && f.route.Kind.repeatable() && p.Length > 0 {
 		s.resetFlow(p, f, to, "targetUnreachable")
 		s.forget(key, f)
 		return
