--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -102,7 +102,7 @@
 without "copies away from a silent target" steerer/steering.go 'if stays && f.target.health' 'if stays || f.target.health' TestCopyOfAnOpeningPacketAvoidsASilentTarget
 without "distrust after a pause" steerer/health.go 'return s.pause.trustDeadline.Passed(s.now) &&' 'return true || s.pause.trustDeadline.Passed(s.now) &&' TestHostThatStoodStillBlamesNobody
 without "progress over a check that hangs" steerer/health.go 'h.lastProgress.Add(e.Took) > s.now' 'false' TestTargetThatMakesProgressIsNotGivenUp
-without "resets of what may run again only" steerer/health.go '!f.waiting && f.paced == nil || f.route.Kind != KindIdempotent' '!f.waiting && f.paced == nil' TestSilentTargetsReadsAreReset
+without "resets of what may run again only" steerer/health.go '!f.waiting && f.paced == nil || !f.route.Kind.repeatable()' '!f.waiting && f.paced == nil' TestSilentTargetsReadsAreReset
 without "the highest version" steerer/reading.go 'if s.settings != nil && settings.Version <= s.settings.Version {' 'if false {' TestSettingsNeverGoBack
 without "flows to targets whose entries lapsed" steerer/listing.go 'return !lapsing || !lives' '_, _ = lapsing, lives
 	return true' TestVanishedEntriesOfLiveTargetsStillGetFlows
@@ -158,7 +158,7 @@
 without "repeats that wait, too" steerer/steering.go 'if f.paced != nil && s.pacedPacket(f, p) {' 'if false {' TestRepeatsOfAPacedRequestAreNotPassedOn
 without "the end of a request whose caller has gone" steerer/flow.go 'func (s *Steerer) close(f *flow) {
 	s.dropPaced(f)' 'func (s *Steerer) close(f *flow) {' TestPacedRequestOfACallerThatHasGoneIsDropped
-without "refusals while others wait" steerer/pacing.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
+without "refusals while others wait" steerer/admitting.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
 without "what waits at a host that leaves" steerer/leaving.go 's.passAllPaced(t, "leaving")' '_ = t' TestLeavingHostPassesOnWhatWaits
 without "resets of what waits for a silent target" steerer/health.go '!f.waiting && f.paced == nil' '!f.waiting' TestPacedRequestOfASilentTargetIsReset
 without "resets of what waits for a removed route" steerer/pacing.go 'if s.removed[r.key.service] {' 'if false {' TestPacedRequestOfARemovedRouteIsReset
