--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -61,6 +61,7 @@
 	e.Scope.Gauge("peers").Update(float64(snapshot.Peers))
 	e.Scope.Gauge("peers_live").Update(float64(snapshot.Live))
 	e.Scope.Gauge("settings_version").Update(float64(snapshot.Version))
+	e.Scope.Gauge("store_era").Update(float64(snapshot.Era))
 	e.Scope.Gauge("settings_age_seconds").Update(snapshot.SettingsAge.Seconds())
 	e.Scope.Gauge("targets_age_seconds").Update(snapshot.TargetsAge.Seconds())
 	e.Scope.Gauge("requests_paced").Update(float64(snapshot.Paced))
--- a/core/evacuator/evacuator.go
+++ b/core/evacuator/evacuator.go
@@ -6,24 +6,25 @@
 // host, and whichever comes first. After the return the zone's targets are cold.
 //
 // The answer: all orders together are one small immutable value with the platform's
-// revision up to which it is complete (Orders). Of two values the one with the higher
-// revision holds, so it does not matter who tells a host first, and an order that is
+// position up to which it is complete (Orders). Of two values the one with the later
+// position holds, so it does not matter who tells a host first, and an order that is
 // taken back and given again can't be confused with its earlier self.
 //
 // The package knows no network and no clock.
 package evacuator
 
 import (
+	"maps"
 	"slices"
 
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 )
 
-// Orders are all orders that are in force as of a revision. It is immutable.
+// Orders are all orders that are in force as of a position. It is immutable.
 type Orders struct {
-	// Revision is the platform's revision up to which all orders are known; 0 if none
-	// is.
-	Revision uint64
+	// Position is that of the platform's history up to which all orders are known.
+	Position sequencer.Position
 	// Zones are the availability zones that get nothing more, sorted.
 	Zones []string
 }
@@ -34,18 +35,18 @@
 	if at, found := slices.BinarySearch(zones, zone); !found {
 		zones = slices.Insert(zones, at, zone)
 	}
-	return Orders{Revision: max(o.Revision, revision), Zones: zones}
+	return Orders{Position: o.Position.WithRevision(revision), Zones: zones}
 }
 
 // WithoutZone returns the orders after one was taken back at a later revision.
 func (o Orders) WithoutZone(zone string, revision uint64) Orders {
 	zones := slices.DeleteFunc(slices.Clone(o.Zones), func(one string) bool { return one == zone })
-	return Orders{Revision: max(o.Revision, revision), Zones: zones}
+	return Orders{Position: o.Position.WithRevision(revision), Zones: zones}
 }
 
 // WithRevision returns the orders, known to be complete up to a later revision.
 func (o Orders) WithRevision(revision uint64) Orders {
-	o.Revision = max(o.Revision, revision)
+	o.Position = o.Position.WithRevision(revision)
 	return o
 }
 
@@ -61,18 +62,36 @@
 // Evacuator is what one host knows of orders. It belongs to one owner.
 type Evacuator struct {
 	orders Orders
+	// held are the zones whose order a restore of the platform has undone, with until when
+	// the order counts nevertheless.
+	held map[string]timekeeper.Instant
 	// lifted is when this host learned that the last order for a zone was taken back.
 	lifted map[string]timekeeper.Instant
 }
 
 // New makes an Evacuator that knows of no orders.
-func New() *Evacuator { return &Evacuator{lifted: map[string]timekeeper.Instant{}} }
+func New() *Evacuator {
+	return &Evacuator{held: map[string]timekeeper.Instant{}, lifted: map[string]timekeeper.Instant{}}
+}
 
-// Orders returns the orders in force.
+// Orders returns the newest orders, as they were given.
 func (e *Evacuator) Orders() Orders { return e.orders }
 
+// Zones lists the zones that get nothing more, sorted.
+func (e *Evacuator) Zones() []string {
+	if len(e.held) == 0 {
+		return e.orders.Zones
+	}
+	zones := slices.AppendSeq(slices.Clone(e.orders.Zones), maps.Keys(e.held))
+	slices.Sort(zones)
+	return zones
+}
+
 // Evacuates reports whether a zone gets nothing more.
-func (e *Evacuator) Evacuates(zone string) bool { return e.orders.Evacuates(zone) }
+func (e *Evacuator) Evacuates(zone string) bool {
+	_, held := e.held[zone]
+	return held || e.orders.Evacuates(zone)
+}
 
 // Lifted returns when this host learned that the last order for a zone was taken back,
 // and whether there was one.
@@ -88,23 +107,54 @@
 // tells its view from before the order, and others send to the zone again until the
 // next host corrects them. One notices by zones that get new flows in bursts after an
 // order.
+//
+// What goes wrong if orders that a restored platform lacks end at once: the operators have
+// not taken them back, and give them again within seconds. Until then new flows go into a
+// zone that is about to fail. So these end only if they are not given again in time.
 func (e *Evacuator) Take(orders Orders, now timekeeper.Instant) []Change {
-	if orders.Revision <= e.orders.Revision {
+	if !e.orders.Position.Before(orders.Position) {
 		return nil
 	}
 	var changes []Change
 	for _, zone := range orders.Zones {
-		if !e.orders.Evacuates(zone) {
+		if !e.Evacuates(zone) {
 			changes = append(changes, Change{Zone: zone, Given: true})
 			delete(e.lifted, zone)
 		}
+		delete(e.held, zone)
 	}
+	restored := e.orders.Position.Known() && !orders.Position.Continues(e.orders.Position)
 	for _, zone := range e.orders.Zones {
-		if !orders.Evacuates(zone) {
-			changes = append(changes, Change{Zone: zone})
-			e.lifted[zone] = now
+		switch {
+		case orders.Evacuates(zone):
+		case restored:
+			e.held[zone] = now.Add(sequencer.RewriteTime)
+		default:
+			changes = append(changes, e.lift(zone, now))
 		}
 	}
 	e.orders = orders
 	return changes
 }
+
+// Expire ends the orders that were not given again in time after a restore, and returns
+// them in the order of zones.
+func (e *Evacuator) Expire(now timekeeper.Instant) []Change {
+	if len(e.held) == 0 {
+		return nil
+	}
+	var changes []Change
+	for _, zone := range slices.Sorted(maps.Keys(e.held)) {
+		if e.held[zone].Passed(now) {
+			delete(e.held, zone)
+			changes = append(changes, e.lift(zone, now))
+		}
+	}
+	return changes
+}
+
+// lift notes that an order has ended.
+func (e *Evacuator) lift(zone string, now timekeeper.Instant) Change {
+	e.lifted[zone] = now
+	return Change{Zone: zone}
+}
--- a/core/evacuator/evacuator_test.go
+++ b/core/evacuator/evacuator_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberryspan.dev/core/evacuator"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -16,7 +17,7 @@
 
 func ExampleEvacuator() {
 	e := evacuator.New()
-	given := evacuator.Orders{Revision: 10}.WithZone("pa-hall", 12)
+	given := evacuator.Orders{Position: sequencer.At(0, 10)}.WithZone("pa-hall", 12)
 	fmt.Println(e.Take(given, start), e.Evacuates("pa-hall"))
 	fmt.Println(e.Take(given.WithoutZone("pa-hall", 15), start), e.Evacuates("pa-hall"))
 	// Output:
@@ -32,7 +33,7 @@
 	given := evacuator.Orders{}.WithZone("a", 5)
 	lifted := given.WithoutZone("a", 8)
 	again := lifted.WithZone("a", 9)
-	for _, orders := range []evacuator.Orders{given, again, lifted, given, {Revision: 2}} {
+	for _, orders := range []evacuator.Orders{given, again, lifted, given, {Position: sequencer.At(0, 2)}} {
 		e.Take(orders, start)
 	}
 	require.True(t, e.Evacuates("a"))
@@ -60,7 +61,7 @@
 func TestOrdersAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		zones := []string{"a", "b", "c"}
-		states := []evacuator.Orders{{Revision: 1}}
+		states := []evacuator.Orders{{Position: sequencer.At(0, 1)}}
 		oracle := map[string]bool{}
 		for revision := uint64(2); revision < 12; revision++ {
 			zone := rapid.SampledFrom(zones).Draw(t, "zone")
--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 )
 
@@ -79,9 +80,12 @@
 	}
 	s.asking.asked = true
 	s.asking.deadline = s.now.Add(askEvery)
-	request := &messenger.KnowledgeRequest{Above: s.version(), Targets: s.lacksTargets(), Since: s.targetsRevision, Gone: s.wantsGone()}
+	request := &messenger.KnowledgeRequest{
+		Above: s.version(), Targets: s.lacksTargets(), Gone: s.wantsGone(),
+		Since: s.targetsPosition.Revision, SinceEra: s.targetsPosition.Era,
+	}
 	s.log("hostAsked", field("peer", p.name), field("version", utoa(s.version())), field("peerVersion", utoa(p.version)),
-		field("targets", btoa(request.Targets)), field("revision", utoa(s.targetsRevision)), field("peerRevision", utoa(p.revision)))
+		field("targets", btoa(request.Targets)), field("revision", s.targetsPosition.String()), field("peerRevision", p.position.String()))
 	s.emit(&AskHost{Host: p.name, Address: p.address, Request: request, Patience: s.answerPatience()})
 }
 
@@ -138,15 +142,18 @@
 // What goes wrong if all pick the same: after a loss of all hosts everybody asks the
 // first one that knows, its link is full, and nobody is answered in time.
 func (s *Steerer) informant() *peer {
-	agrees, newest, revision := false, uint64(0), uint64(0)
+	agrees, newest, position := false, uint64(0), sequencer.Position{}
 	for _, p := range s.peers.ordered() {
-		if p.hears(s.now) && p.revision != 0 {
+		if p.hears(s.now) && p.position.Known() {
 			agrees = agrees || p.digest == s.targets.digest()
 			newest = max(newest, p.version)
-			revision = max(revision, p.revision)
+			position = position.Later(p.position)
 		}
 	}
-	s.noteDifference(agrees || revision <= s.targetsRevision)
+	s.noteDifference(agrees || !s.targetsPosition.Before(position))
+	if s.leftBehind() {
+		return s.pickInformant(newest)
+	}
 	if newest < s.version() || (s.settings != nil && newest == s.version() && !s.lacksTargets()) {
 		return nil
 	}
@@ -154,12 +161,16 @@
 }
 
 // pickInformant picks one of the hosts with the newest settings, and newer targets
-// if those are lacking, at random.
+// if those are lacking, at random. A host that goes by targets of an era that has ended
+// needs those of the newest more than settings.
 func (s *Steerer) pickInformant(newest uint64) *peer {
 	var near, far []*peer
 	for _, p := range s.peers.ordered() {
-		useful := p.hears(s.now) && p.revision != 0 && p.version == newest
-		if !useful || (newest == s.version() && p.revision <= s.targetsRevision) {
+		useful := p.hears(s.now) && p.position.Known() && p.version == newest
+		if s.leftBehind() {
+			useful = p.hears(s.now) && p.position.Era == s.reading.era
+		}
+		if !useful || (newest <= s.version() && !s.targetsPosition.Before(p.position)) {
 			continue
 		}
 		if p.zone == s.config.AvailabilityZone {
@@ -191,7 +202,7 @@
 // lacksTargets reports whether others should be asked for their targets.
 func (s *Steerer) lacksTargets() bool {
 	differs := s.asking.differsSince != 0 && s.asking.differsSince.Add(askPatience).Passed(s.now)
-	return s.targetsRevision == 0 || differs
+	return !s.targetsPosition.Known() || s.leftBehind() || differs
 }
 
 // version is that of the settings in force; 0 without any.
@@ -220,23 +231,35 @@
 		s.adopt(e.Settings, e.Document, e.From)
 	}
 	if k.Version == s.version() && k.Version != 0 {
-		s.confirm(&s.reading.settings, k.SettingsRead, k.SettingsAge, e.From)
+		s.confirm(&s.reading.settings, reportedRead{k.SettingsRead, k.SettingsEra, k.SettingsAge}, e.From)
 	}
-	if k.Revision == 0 {
+	if k.Revision != 0 {
+		s.takeTargets(k, e.From)
+	}
+}
+
+// takeTargets takes in the targets that another host knows. An answer from a later era
+// than this host's targets is a whole list: changes lead from no era to another.
+func (s *Steerer) takeTargets(k *messenger.Knowledge, from string) {
+	position := sequencer.At(k.TargetsEra, k.Revision)
+	if position.Era < s.reading.era {
 		return
 	}
+	s.noteEra(position.Era, from)
+	listed := make(map[string]bool, len(k.Targets))
 	for _, state := range k.Targets {
-		s.takeState(state, e.From)
+		listed[state.ID] = !state.Missing
+		s.takeState(state, from)
 	}
-	if k.Revision < s.targetsRevision {
+	if position.Before(s.targetsPosition) {
 		return
 	}
-	first := s.targetsRevision == 0
-	s.targetsRevision = k.Revision
-	s.confirm(&s.reading.targets, k.TargetsRead, k.TargetsAge, e.From)
-	if first {
-		s.logFirstTargets(e.From)
+	if position.Continues(s.targetsPosition) {
+		s.targetsPosition = position
+	} else {
+		s.endList(listed, position, from)
 	}
+	s.confirm(&s.reading.targets, reportedRead{k.TargetsRead, k.TargetsEra, k.TargetsAge}, from)
 }
 
 // Knowledge answers another host's question. The document is not compressed yet.
@@ -245,6 +268,7 @@
 		Version:      s.version(),
 		SettingsAge:  age(s.now, s.reading.settings.confirmed),
 		SettingsRead: s.reading.settings.confirmedRead,
+		SettingsEra:  s.reading.settings.era,
 	}
 	if k.Version > request.Above {
 		k.Document = s.document
@@ -256,13 +280,16 @@
 	if !request.Targets {
 		return k
 	}
-	k.Revision = s.targetsRevision
+	k.Revision, k.TargetsEra = s.targetsPosition.Revision, s.targetsPosition.Era
 	k.TargetsAge = age(s.now, s.reading.targets.confirmed)
 	k.TargetsRead = s.reading.targets.confirmedRead
-	// What was seen later than the other's revision includes all that has changed
-	// since: a state is never seen before it comes about.
+	// What was seen later than the other's position includes all that has changed
+	// since: a state is never seen before it comes about. One from another era has to
+	// know all that are listed.
+	since := sequencer.At(request.SinceEra, request.Since)
+	continues := s.targetsPosition.Continues(since)
 	for _, t := range s.targets.ordered() {
-		if t.seen > request.Since {
+		if (continues && since.Before(t.seen)) || (!continues && (!t.missing || t.unreadable)) {
 			k.Targets = append(k.Targets, t.state(s.now))
 		}
 	}
--- a/core/steerer/bench_test.go
+++ b/core/steerer/bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cranberryspan.dev/core/encoder"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/steerer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/stretchr/testify/require"
@@ -25,7 +26,7 @@
 		number, _ := steerer.NumberOf(id)
 		list = append(list, steerer.Target{ID: id, Number: number, Service: "ledger", AvailabilityZone: string(rune('a' + n%7)), Slots: 3})
 	}
-	s.Reduce(&steerer.TargetsRead{At: at, Started: at, List: steerer.TargetList{Revision: 1, Targets: list}})
+	s.Reduce(&steerer.TargetsRead{At: at, Started: at, List: steerer.TargetList{Position: sequencer.At(0, 1), Targets: list}})
 	return s
 }
 
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -57,7 +57,7 @@
 // views looks at all zones, since a choice looks at many targets of each.
 func (s *Steerer) views(c *choice) []zoneView {
 	s.zoneViews = s.zoneViews[:0]
-	obeys := len(s.evacuator.Orders().Zones) > 0 && !s.cutOff()
+	obeys := len(s.evacuator.Zones()) > 0 && !s.cutOff()
 	outOfTouch := s.outOfTouch()
 	for _, zone := range s.targets.zones {
 		evacuated := obeys && s.evacuator.Evacuates(zone)
@@ -120,7 +120,7 @@
 func (s *Steerer) excluded(t *target, views []zoneView) exclusion {
 	view := &views[t.zone]
 	switch {
-	case t.Draining || s.gone(t):
+	case t.Draining || s.gone(t) || s.doubtsRestored(t):
 		return excludedLeaving
 	case !view.region:
 		return excludedRegion
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -35,13 +35,15 @@
 	RequestPaced
 	// DropStale counts packets that came while this host stood still.
 	DropStale
+	// StoreRestored counts restores of the platform's store that this host has learned of.
+	StoreRestored
 	numCounts
 )
 
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale", "storeRestored",
 	}[c]
 }
 
@@ -65,6 +67,9 @@
 	// Live counts those of the other hosts that live as far as anybody says.
 	Live    int
 	Version uint64
+	// Era is the newest era of the platform's history that the host has heard of; 0 if the
+	// platform tells none.
+	Era uint64
 	// SettingsAge and TargetsAge tell for how long settings and targets have not
 	// been confirmed.
 	SettingsAge time.Duration
@@ -82,8 +87,9 @@
 	snapshot.SettingsAge = age(s.now, s.reading.settings.confirmed)
 	snapshot.TargetsAge = age(s.now, s.reading.targets.confirmed)
 	snapshot.Ready = s.Ready()
+	snapshot.Era = s.reading.era
 	snapshot.Paced = s.paced
-	snapshot.Evacuated = len(s.evacuator.Orders().Zones)
+	snapshot.Evacuated = len(s.evacuator.Zones())
 	for _, v := range s.services {
 		if v.load.Pressed() {
 			snapshot.Pressed++
--- a/core/steerer/event.go
+++ b/core/steerer/event.go
@@ -6,6 +6,7 @@
 
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 )
 
@@ -67,8 +68,8 @@
 
 // TargetList is all targets that the platform lists.
 type TargetList struct {
-	// Revision is the platform's revision that the list shows.
-	Revision uint64
+	// Position is that of the platform's history that the list shows.
+	Position sequencer.Position
 	Targets  []Target
 	// Malformed lists the entries that name no target.
 	Malformed []MalformedTarget
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cranberryspan.dev/core/evacuator"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/steerer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/stretchr/testify/require"
@@ -34,6 +35,8 @@
 	settings *steerer.Settings
 	targets  map[string]steerer.Target
 	revision uint64
+	// era counts the platform's restores; 0 if it tells none.
+	era uint64
 	// orders are those to evacuate zones, as the platform has them.
 	orders evacuator.Orders
 	// settingsWithin is what hosts that start are told; 3 s if 0. documentBytes is the
@@ -356,7 +359,7 @@
 	f.noteRead(name, options.MayBeStale)
 	event := &steerer.TargetsRead{Started: f.now, MayBeStale: options.MayBeStale, Err: errDown}
 	if f.answers(name) {
-		event.Err, event.List.Revision = nil, f.revision
+		event.Err, event.List.Position = nil, sequencer.At(f.era, f.revision)
 		for _, target := range f.targets {
 			event.List.Targets = append(event.List.Targets, target)
 		}
--- a/core/steerer/foreign.go
+++ b/core/steerer/foreign.go
@@ -1,5 +1,7 @@
 package steerer
 
+import "cranberryspan.dev/core/sequencer"
+
 // takeMalformed takes in the listed entries that name no target.
 //
 // Such an entry is another program's, or was written over a target's own. A target
@@ -11,7 +13,7 @@
 //
 // An entry is logged once, until it changes: it may lie there for days, and the list
 // is read every second.
-func (s *Steerer) takeMalformed(entries []MalformedTarget, revision uint64) {
+func (s *Steerer) takeMalformed(entries []MalformedTarget, seen sequencer.Position) {
 	logged := s.malformed
 	s.malformed = make(map[uint64]bool, len(entries))
 	for _, entry := range entries {
@@ -20,11 +22,11 @@
 		if !logged[entry.Digest] {
 			s.counts.add(TargetMalformed)
 			s.log("targetMalformed", field("target", entry.ID), field("error", entry.Err.Error()),
-				field("known", btoa(known)), field("revision", utoa(revision)))
+				field("known", btoa(known)), field("revision", seen.String()))
 		}
-		if known && !t.unreadable && t.seen < revision {
+		if known && !t.unreadable && t.seen.Before(seen) {
 			t.unreadable = true
-			s.takeMissing(t, revision, "platform")
+			s.takeMissing(t, seen, "platform")
 		}
 	}
 }
--- a/core/steerer/gone.go
+++ b/core/steerer/gone.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/sequencer"
 )
 
 const (
@@ -35,7 +36,7 @@
 	}
 	var older []*peer
 	for _, p := range s.peers.ordered() {
-		if p.hears(s.now) && p.revision != 0 && p.incarnation < s.config.Incarnation {
+		if p.hears(s.now) && p.position.Known() && p.incarnation < s.config.Incarnation {
 			older = append(older, p)
 		}
 	}
@@ -69,7 +70,7 @@
 		if _, known := s.targets.byID[state.ID]; known || !valid {
 			continue
 		}
-		t, _ := s.targets.put(recordOf(state, number), state.Seen)
+		t, _ := s.targets.put(recordOf(state, number), sequencer.At(state.Era, state.Seen))
 		t.missing = true
 		t.missingSince = s.now
 	}
--- a/core/steerer/holding.go
+++ b/core/steerer/holding.go
@@ -29,7 +29,7 @@
 }
 
 // knows reports whether this host has learned where packets go.
-func (s *Steerer) knows() bool { return s.settings != nil && s.targetsRevision != 0 }
+func (s *Steerer) knows() bool { return s.settings != nil && s.targetsPosition.Known() }
 
 // passUnrouted passes on a packet of an open flow while this host knows targets and no
 // settings yet, and reports whether it has. The tag alone says where the packet goes.
@@ -40,7 +40,7 @@
 // from it.
 func (s *Steerer) passUnrouted(p *Packet) bool {
 	to, ok := s.targets.byTag[p.Tag]
-	if !ok || p.opens() || s.targetsRevision == 0 {
+	if !ok || p.opens() || !s.targetsPosition.Known() {
 		return false
 	}
 	s.sendTarget(to, 0, p.Data)
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -15,12 +15,18 @@
 	// SettingsConfirmedBy who said so.
 	SettingsAge         time.Duration `json:"settingsAge"`
 	SettingsConfirmedBy string        `json:"settingsConfirmedBy,omitempty"`
+	// Era is the newest era of the platform's history that the host has heard of, 0 if the
+	// platform tells none.
+	Era uint64 `json:"era,omitempty"`
 	// OrdersRevision is the platform's revision up to which orders to evacuate zones are
 	// known, 0 if they are not, and Evacuated the zones that get nothing more.
 	OrdersRevision uint64   `json:"ordersRevision"`
 	Evacuated      []string `json:"evacuated,omitempty"`
 	// Revision is the platform's that the list of targets reflects.
-	Revision           uint64        `json:"revision"`
+	Revision uint64 `json:"revision"`
+	// TargetsEra is the era that Revision belongs to. It is below Era while the host still
+	// goes by what it knew before a restore.
+	TargetsEra         uint64        `json:"targetsEra,omitempty"`
 	TargetsAge         time.Duration `json:"targetsAge"`
 	TargetsConfirmedBy string        `json:"targetsConfirmedBy,omitempty"`
 	// Rank is the host's place among those that read the platform, 0 the first, and Live
@@ -39,8 +45,9 @@
 		Host: s.config.Self, AvailabilityZone: s.config.AvailabilityZone,
 		Version: s.version(), SettingsFrom: s.settingsFrom,
 		SettingsAge: age(s.now, settings.confirmed), SettingsConfirmedBy: settings.confirmedBy,
-		OrdersRevision: s.evacuator.Orders().Revision, Evacuated: s.evacuator.Orders().Zones,
-		Revision: s.targetsRevision, TargetsAge: age(s.now, targets.confirmed), TargetsConfirmedBy: targets.confirmedBy,
+		Era: s.reading.era, OrdersRevision: s.evacuator.Orders().Position.Revision, Evacuated: s.evacuator.Zones(),
+		Revision: s.targetsPosition.Revision, TargetsEra: s.targetsPosition.Era,
+		TargetsAge: age(s.now, targets.confirmed), TargetsConfirmedBy: targets.confirmedBy,
 		Rank: s.rank(), Live: s.hostsHeardOf(), PlatformLost: s.reading.failedSince != 0,
 	}
 }
@@ -84,6 +91,8 @@
 		return "another target has its tag"
 	case t.Draining:
 		return "draining"
+	case s.doubtsRestored(t):
+		return t.restored.String() + " before the platform was restored"
 	case t.missing:
 		return "no longer listed for " + ageText(s.now, t.missingSince) + " ms"
 	case s.evacuator.Evacuates(t.AvailabilityZone):
--- a/core/steerer/life.go
+++ b/core/steerer/life.go
@@ -1,6 +1,10 @@
 package steerer
 
-import "slices"
+import (
+	"slices"
+
+	"cranberryspan.dev/core/sequencer"
+)
 
 // A target may end and start again under the ID that it had, at the same address. It
 // then holds none of its flows, and nothing that was learned of it holds any more.
@@ -12,18 +16,18 @@
 // target that gets no flows, on some hosts only.
 
 // olderThan reports whether what is known of a target is older than a state of some
-// life as seen at a revision. Lives go first: what an earlier life has written may
+// life as seen at a position. Lives go first: what an earlier life has written may
 // reach the platform, or this host, after the news of a later one.
-func (t *target) olderThan(born int64, seen uint64) bool {
+func (t *target) olderThan(born int64, seen sequencer.Position) bool {
 	if born != t.Born {
 		return t.Born < born
 	}
-	return t.seen < seen
+	return t.seen.Before(seen)
 }
 
 // beginLife drops what this host believes of a target's earlier life.
 func (s *Steerer) beginLife(t *target, from string) {
-	s.log("targetReborn", field("target", t.ID), field("born", itoa(int(t.Born))), field("revision", utoa(t.seen)),
+	s.log("targetReborn", field("target", t.ID), field("born", itoa(int(t.Born))), field("revision", t.seen.String()),
 		field("flows", itoa(t.flows)), field("from", from))
 	t.bornAt = t.seen
 	for _, key := range s.flowsTo(t) {
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 )
 
@@ -25,25 +26,30 @@
 
 // takeList takes in a complete list of targets.
 func (s *Steerer) takeList(list TargetList) {
-	if list.Revision < s.targetsRevision {
+	if list.Position.Before(s.targetsPosition) {
 		return
 	}
-	first := s.targetsRevision == 0
-	s.takeMalformed(list.Malformed, list.Revision)
+	s.takeMalformed(list.Malformed, list.Position)
 	listed := make(map[string]bool, len(list.Targets))
 	for _, record := range list.Targets {
 		listed[record.ID] = true
-		s.takeRecord(record, list.Revision, fromPlatform)
+		s.takeRecord(record, list.Position, fromPlatform)
 	}
+	s.endList(listed, list.Position, fromPlatform)
+}
+
+// endList takes in that a list is complete as of a position: what it lacks is missing.
+func (s *Steerer) endList(listed map[string]bool, position sequencer.Position, from string) {
+	missing := 0
 	for _, t := range s.targets.ordered() {
-		if !listed[t.ID] && !t.missing && t.seen < list.Revision {
-			s.takeMissing(t, list.Revision, fromPlatform)
+		if !listed[t.ID] && !t.missing && t.seen.Before(position) {
+			s.takeMissing(t, position, from)
+			missing++
 		}
 	}
-	s.targetsRevision = list.Revision
-	if first {
-		s.logFirstTargets(fromPlatform)
-	}
+	earlier := s.targetsPosition
+	s.targetsPosition = position
+	s.noteListed(earlier, missing, from)
 }
 
 // logFirstTargets logs the first list of targets in one line.
@@ -60,13 +66,13 @@
 		}
 	}
 	s.log("targetsKnown", field("targets", itoa(len(s.targets.byID))), field("draining", itoa(draining)),
-		field("revision", utoa(s.targetsRevision)), field("from", from))
+		field("revision", s.targetsPosition.String()), field("from", from))
 }
 
-// takeRecord takes in the state of a target as seen at a revision. The first list is no
+// takeRecord takes in the state of a target as seen at a position. The first list is no
 // news to others: told like changes, it would fill the reports of each host that starts
 // for changeMemory, and all of them after a loss of all hosts.
-func (s *Steerer) takeRecord(record Target, seen uint64, from string) {
+func (s *Steerer) takeRecord(record Target, seen sequencer.Position, from string) {
 	known, ok := s.targets.byID[record.ID]
 	if ok && !known.missing && known.same(record) {
 		s.takeWarmUp(known, record.WarmUp, from)
@@ -77,8 +83,10 @@
 		return
 	}
 	reborn := ok && record.Born != known.Born
+	restored := s.restoredState(known, record, seen)
 	t, shared := s.targets.put(record, seen)
-	if s.targetsRevision != 0 {
+	t.restored = restored
+	if s.targetsPosition.Known() {
 		s.diagnoser.Heard(t.AvailabilityZone, s.now) // It has started, or changed, just now.
 	}
 	t.missing = false
@@ -87,10 +95,10 @@
 		s.beginLife(t, from)
 	}
 	t.warmUpDeadline = s.now.Add(record.WarmUp)
-	if s.targetsRevision != 0 {
+	if s.targetsPosition.Known() {
 		s.peers.changed(t, s.now)
 		s.log("targetChanged", field("target", t.ID), field("service", t.Service), field("address", t.Address.String()),
-			field("draining", btoa(t.Draining)), field("revision", utoa(seen)), field("from", from))
+			field("draining", btoa(t.Draining)), field("revision", seen.String()), field("from", from))
 	}
 	if shared {
 		s.log("targetUnused", field("target", t.ID), field("reason", "tagTaken"), field("tag", t.tag.String()))
@@ -115,14 +123,14 @@
 	t.warmUpDeadline = deadline
 }
 
-// takeMissing takes in that a target is no longer listed, as seen at a revision.
-func (s *Steerer) takeMissing(t *target, seen uint64, from string) {
+// takeMissing takes in that a target is no longer listed, as seen at a position.
+func (s *Steerer) takeMissing(t *target, seen sequencer.Position, from string) {
 	t.seen = seen
 	t.missing = true
 	s.targets.digestValid = false
 	t.missingSince = s.now
 	s.peers.changed(t, s.now)
-	s.logTarget("targetMissing", t, field("draining", btoa(t.Draining)), field("revision", utoa(seen)), field("from", from))
+	s.logTarget("targetMissing", t, field("draining", btoa(t.Draining)), field("revision", seen.String()), field("from", from))
 }
 
 // gone reports whether a target may get no new flows since it is not listed.
@@ -136,8 +144,12 @@
 	}
 	since := max(t.missingSince, s.reading.returnedAt)
 	lapsing := !since.Add(lapseTime).Passed(s.now) || s.reading.failedSince != 0
-	lives := t.health.lastProgress != 0 && s.now.Since(t.health.lastProgress) < lapseProgress
-	return !lapsing || !lives
+	return !lapsing || !s.livesNow(t)
+}
+
+// livesNow reports whether flows show that a target lives.
+func (s *Steerer) livesNow(t *target) bool {
+	return t.health.lastProgress != 0 && s.now.Since(t.health.lastProgress) < lapseProgress
 }
 
 // targetsTick does what is due for targets, whether or not flows use them.
--- a/core/steerer/orders.go
+++ b/core/steerer/orders.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cranberryspan.dev/core/evacuator"
+	"cranberryspan.dev/core/sequencer"
 )
 
 // Operators may order that an availability zone be evacuated: its targets get no new
@@ -20,12 +21,22 @@
 
 // takeOrders puts orders in force unless newer ones are.
 func (s *Steerer) takeOrders(orders evacuator.Orders, from string) {
-	for _, change := range s.evacuator.Take(orders, s.now) {
+	s.noteOrders(s.evacuator.Take(orders, s.now), orders.Position, from)
+}
+
+// expireOrders ends the orders that nobody has given again after a restore.
+func (s *Steerer) expireOrders() {
+	s.noteOrders(s.evacuator.Expire(s.now), s.evacuator.Orders().Position, "notGivenAgain")
+}
+
+// noteOrders logs orders that came into force or ended, and tells others.
+func (s *Steerer) noteOrders(changes []evacuator.Change, position sequencer.Position, from string) {
+	for _, change := range changes {
 		event := "zoneReturned"
 		if change.Given {
 			event = "zoneEvacuated"
 		}
-		s.log(event, field("zone", change.Zone), field("revision", utoa(orders.Revision)), field("from", from))
+		s.log(event, field("zone", change.Zone), field("revision", position.String()), field("from", from))
 		s.peers.news = true
 	}
 }
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cespare/xxhash/v2"
 )
@@ -82,10 +83,10 @@
 	lives        timekeeper.Instant
 	nextDeadline timekeeper.Instant
 	busy         map[uint32]uint16
-	// version and revision are what the host had in force at its last report,
+	// version and position are what the host had in force at its last report,
 	// digest what it knew of targets.
 	version  uint64
-	revision uint64
+	position sequencer.Position
 	digest   uint64
 }
 
@@ -161,7 +162,7 @@
 }
 
 // knows reports whether a host had settings and targets at its last report.
-func (p *peer) knows() bool { return p.version != 0 && p.revision != 0 }
+func (p *peer) knows() bool { return p.version != 0 && p.position.Known() }
 
 // rank is the place of this host among those that live as far as it knows: those with
 // the larger links first, which a read of everything holds up for the shortest time,
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cespare/xxhash/v2"
 )
@@ -55,6 +56,8 @@
 	// confirmed is the moment for which this host's knowledge is known to be
 	// complete; 0 before any.
 	confirmed timekeeper.Instant
+	// era is the era of the platform's history that the confirmation belongs to.
+	era uint64
 	// confirmedBy is "platform", or the host that said so, and confirmedRead the number
 	// of the read that has shown it.
 	confirmedBy   string
@@ -91,13 +94,24 @@
 // another, later by the time that reports are on their way, and is told again. Where
 // hosts are busy, knowledge looks fresh for as long as anybody reports, and nobody reads.
 // So a read keeps the earliest moment that anybody has told of it.
-func (src *source) confirm(read uint64, moment timekeeper.Instant, by string) {
-	moment = src.earliest(read, moment)
-	if moment > src.confirmed {
-		src.confirmed, src.confirmedBy, src.confirmedRead = moment, by, read
+//
+// A confirmation of a newer era takes the place of any: what the older ones show is
+// undone. Whoever calls this leaves out those of an era that is known to have ended.
+func (src *source) confirm(c confirmation, by string) {
+	moment := src.earliest(c.read, c.moment)
+	if c.era > src.era || (c.era == src.era && moment > src.confirmed) {
+		src.confirmed, src.confirmedBy, src.confirmedRead, src.era = moment, by, c.read, c.era
 	}
 }
 
+// confirmation says that a read of the platform, in some era of its history, has shown
+// what was complete at a moment.
+type confirmation struct {
+	read   uint64
+	era    uint64
+	moment timekeeper.Instant
+}
+
 // earliest returns the earliest moment told of a read. Hosts that do not number their
 // reads tell 0.
 func (src *source) earliest(read uint64, moment timekeeper.Instant) timekeeper.Instant {
@@ -119,6 +133,8 @@
 type reading struct {
 	settings source
 	targets  source
+	// era is the newest era of the platform's history that this host has heard of.
+	era uint64
 	// failedSince is since when the platform has answered neither this host nor one
 	// that it learns from; 0 while it does.
 	failedSince timekeeper.Instant
@@ -167,7 +183,7 @@
 }
 
 // succeed takes in that a read has succeeded.
-func (src *source) succeed(now, started timekeeper.Instant, mayBeStale bool, number uint64) {
+func (src *source) succeed(now timekeeper.Instant, mayBeStale bool, c confirmation) {
 	src.reading = false
 	src.backoff = 0
 	src.retryDeadline = 0
@@ -175,7 +191,7 @@
 		src.staleAt = now
 		return
 	}
-	src.confirm(number, started, fromPlatform)
+	src.confirm(c, fromPlatform)
 }
 
 // readingTick starts the reads that are due.
@@ -297,24 +313,32 @@
 	r.returnedAt = s.now
 }
 
-func (s *Steerer) endRead(src *source, started timekeeper.Instant, mayBeStale bool, err error) {
-	if err != nil {
+// endRead takes in the end of a read that shows a position. It reports whether what was
+// read is to be taken in: an answer that comes after the news of a restore may be from
+// before it.
+func (s *Steerer) endRead(src *source, started timekeeper.Instant, mayBeStale bool, position sequencer.Position, err error) bool {
+	superseded := err == nil && position.Era < s.reading.era
+	if err != nil || superseded {
 		src.fail(s.now, s.fleetPause(), s.random.Float64())
-		return
+		return false
 	}
-	src.succeed(s.now, started, mayBeStale, s.random.Uint64())
+	s.noteEra(position.Era, fromPlatform)
+	src.succeed(s.now, mayBeStale, confirmation{s.random.Uint64(), position.Era, started})
+	return true
 }
 
 func (s *Steerer) settingsRead(e *SettingsRead) {
-	s.endRead(&s.reading.settings, e.Started, e.MayBeStale, e.Err)
+	taken := s.endRead(&s.reading.settings, e.Started, e.MayBeStale, e.Published.Orders.Position, e.Err)
 	s.noteRead("settings", e.Err)
 	s.takeOrders(e.Published.Orders, fromPlatform)
-	if e.Err == nil && e.Published.Settings != nil {
-		s.adopt(e.Published.Settings, e.Published.Document, fromPlatform)
+	if !taken {
+		return
 	}
-	if e.Err == nil {
-		s.tellOfRead(e.MayBeStale)
+	if e.Published.Settings != nil {
+		s.adopt(e.Published.Settings, e.Published.Document, fromPlatform)
 	}
+	s.readRestored()
+	s.tellOfRead(e.MayBeStale)
 }
 
 // tellOfRead tells the next readers of a read, once for reads that began together.
@@ -356,14 +380,15 @@
 }
 
 func (s *Steerer) targetsRead(e *TargetsRead) {
-	s.endRead(&s.reading.targets, e.Started, e.MayBeStale, e.Err)
+	taken := s.endRead(&s.reading.targets, e.Started, e.MayBeStale, e.List.Position, e.Err)
 	s.noteRead("targets", e.Err)
 	if s.reading.settings.unread() {
 		s.readingTick() // They have waited for the targets.
 	}
-	if e.Err != nil {
+	if !taken {
 		return
 	}
 	s.takeList(e.List)
+	s.readRestored()
 	s.tellOfRead(e.MayBeStale)
 }
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -7,6 +7,7 @@
 
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cespare/xxhash/v2"
 )
@@ -33,14 +34,15 @@
 	p.leaving = r.Leaving
 	p.heard = s.now
 	p.version = r.Version
-	p.revision = r.TargetsRevision
+	p.position = sequencer.At(r.TargetsEra, r.TargetsRevision)
 	p.digest = r.TargetsDigest
 	s.takeBusy(p, r.Busy)
 	s.takeQuick(p, r.Quick)
 	s.takeSilent(p, r.Silent)
 	s.takeHints(r)
 	s.takeZoneHosts(r)
-	s.takeOrders(evacuator.Orders{Revision: r.OrdersRevision, Zones: r.Evacuated}, p.name)
+	s.noteEra(max(r.TargetsEra, r.OrdersEra, r.SettingsEra), p.name)
+	s.takeOrders(evacuator.Orders{Position: sequencer.At(r.OrdersEra, r.OrdersRevision), Zones: r.Evacuated}, p.name)
 	s.compareSettings(r, p.name)
 	s.compareTargets(r, p.name)
 	// It may know nothing yet. In a large fleet one that knows all need not hear from
@@ -74,7 +76,7 @@
 // that has not learned yet that the target has started again is about its earlier life.
 func (s *Steerer) told(p *peer, tag uint32) (*target, bool) {
 	t, ok := s.targets.byTag[Tag(tag)]
-	if !ok || p.revision < t.bornAt {
+	if !ok || p.position.Before(t.bornAt) {
 		return nil, false
 	}
 	return t, true
@@ -86,14 +88,14 @@
 	case r.Version > s.version():
 		s.noteBehind()
 	case r.Version == s.version() && r.Version != 0:
-		s.confirm(&s.reading.settings, r.SettingsRead, r.SettingsAge, from)
+		s.confirm(&s.reading.settings, reportedRead{r.SettingsRead, r.SettingsEra, r.SettingsAge}, from)
 	}
 }
 
 // compareTargets takes the changes in a report, and learns from it how new the
 // own list of targets is.
 func (s *Steerer) compareTargets(r *messenger.Report, from string) {
-	if s.targetsRevision == 0 {
+	if !s.targetsPosition.Known() {
 		return // The own first read is under way and brings all at once.
 	}
 	for _, state := range r.Changes {
@@ -103,30 +105,57 @@
 		return
 	}
 	if r.TargetsDigest == s.targets.digest() {
-		s.confirm(&s.reading.targets, r.TargetsRead, r.TargetsAge, from)
-		s.targetsRevision = max(s.targetsRevision, r.TargetsRevision)
+		s.confirm(&s.reading.targets, reportedRead{r.TargetsRead, r.TargetsEra, r.TargetsAge}, from)
+		s.agreeOn(sequencer.At(r.TargetsEra, r.TargetsRevision), from)
 	}
 }
 
-// confirm takes over another host's confirmation if it is newer: the number of a read of
-// the platform, and how long ago it was.
-func (s *Steerer) confirm(src *source, read uint64, age time.Duration, from string) {
-	if age >= unknownAge {
+// agreeOn takes in that another host lists the same targets as of a position.
+func (s *Steerer) agreeOn(position sequencer.Position, from string) {
+	if !s.targetsPosition.Before(position) {
 		return
 	}
-	src.confirm(read, s.now.Add(-age), from)
+	earlier := s.targetsPosition
+	s.targetsPosition = position
+	s.noteListed(earlier, 0, from)
+}
+
+// reportedRead is another host's word of a read of the platform: its number, the era of the
+// platform's history, and how long ago it was.
+type reportedRead struct {
+	read uint64
+	era  uint64
+	age  time.Duration
+}
+
+// confirm takes over another host's confirmation if it is newer.
+//
+// What goes wrong if one of an earlier era counts: the platform was restored, some hosts
+// have not heard of it, and their word makes what the restore has undone look fresh.
+// Nobody reads the new history until they have.
+func (s *Steerer) confirm(src *source, r reportedRead, from string) {
+	if r.age >= unknownAge || r.era < s.reading.era {
+		return
+	}
+	src.confirm(confirmation{r.read, r.era, s.now.Add(-r.age)}, from)
 	if failed := s.reading.failedSince; failed != 0 && src.confirmed > failed {
 		s.regained("peer")
 	}
 }
 
+// takeState takes in what another host says of a target. What it saw before a restore of
+// the platform never wins over a list from after it.
 func (s *Steerer) takeState(state messenger.TargetState, from string) {
+	seen := sequencer.At(state.Era, state.Seen)
+	if seen.Era < s.targetsPosition.Era {
+		return
+	}
 	known, ok := s.targets.byID[state.ID]
 	if state.Missing {
-		if ok && !known.missing && known.olderThan(state.Born, state.Seen) {
+		if ok && !known.missing && known.olderThan(state.Born, seen) {
 			known.Born = state.Born
 			known.unreadable = state.Unreadable
-			s.takeMissing(known, state.Seen, from)
+			s.takeMissing(known, seen, from)
 		}
 		return
 	}
@@ -134,7 +163,7 @@
 	if !valid {
 		return
 	}
-	s.takeRecord(recordOf(state, number), state.Seen, from)
+	s.takeRecord(recordOf(state, number), seen, from)
 }
 
 // recordOf reads a target from a report.
@@ -237,12 +266,15 @@
 		Leaving:            s.leaving.begun,
 		SettingsAge:        age(s.now, s.reading.settings.confirmed),
 		SettingsRead:       s.reading.settings.confirmedRead,
-		TargetsRevision:    s.targetsRevision,
+		SettingsEra:        s.reading.settings.era,
+		TargetsRevision:    s.targetsPosition.Revision,
+		TargetsEra:         s.targetsPosition.Era,
 		TargetsAge:         age(s.now, s.reading.targets.confirmed),
 		TargetsRead:        s.reading.targets.confirmedRead,
 		TargetsDigest:      s.targets.digest(),
 		Version:            s.version(),
-		OrdersRevision:     s.evacuator.Orders().Revision,
+		OrdersRevision:     s.evacuator.Orders().Position.Revision,
+		OrdersEra:          s.evacuator.Orders().Position.Era,
 		Evacuated:          s.evacuator.Orders().Zones,
 	}
 	s.addHints(r, to)
@@ -333,7 +365,7 @@
 // state writes a target for a report.
 func (t *target) state(now timekeeper.Instant) messenger.TargetState {
 	return messenger.TargetState{
-		ID: t.ID, Seen: t.seen, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
+		ID: t.ID, Seen: t.seen.Revision, Era: t.seen.Era, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
 		Slots: t.Slots, Draining: t.Draining, Missing: t.missing, WarmUp: max(t.warmUpDeadline.Until(now), 0),
 		Born: t.Born, Unreadable: t.unreadable,
 	}
--- a/core/steerer/reports_internal_test.go
+++ b/core/steerer/reports_internal_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/stretchr/testify/require"
 )
@@ -23,7 +24,7 @@
 		}})
 	}
 	report("a2", 5)
-	s.Reduce(&TargetsRead{At: at, Started: at, List: TargetList{Revision: 1, Targets: []Target{{ID: "i-7", Number: 7, Service: "ledger", Slots: 3}}}})
+	s.Reduce(&TargetsRead{At: at, Started: at, List: TargetList{Position: sequencer.At(0, 1), Targets: []Target{{ID: "i-7", Number: 7, Service: "ledger", Slots: 3}}}})
 	report("a3", 4)
 	report("a2", 0)
 	require.Equal(t, 4, s.targets.byID["i-7"].peersBusy)
--- /dev/null
+++ b/core/steerer/restoring.go
@@ -0,0 +1,109 @@
+package steerer
+
+import (
+	"cranberryspan.dev/core/sequencer"
+	"cranberryspan.dev/core/timekeeper"
+)
+
+// The platform's store may be restored from a copy that is some seconds old; see package
+// sequencer. What this host knew goes on serving until it has a whole list of the new
+// era, from the platform or from another host, while its age grows.
+
+// noteEra takes in that the platform has reached an era, as a read or another host says.
+func (s *Steerer) noteEra(era uint64, by string) {
+	from := s.reading.era
+	if era <= from {
+		return
+	}
+	s.reading.era = era
+	if !s.targetsPosition.Known() && s.settings == nil {
+		return // This host has just started.
+	}
+	s.counts.add(StoreRestored)
+	s.log("storeRestored", field("fromEra", utoa(from)), field("toEra", utoa(era)), field("by", by),
+		field("version", utoa(s.version())), field("revision", s.targetsPosition.String()), field("targetsAgeMillis", s.targetsAge()))
+}
+
+// leftBehind reports whether the targets known here are of an era that has ended.
+func (s *Steerer) leftBehind() bool {
+	return s.targetsPosition.Known() && s.targetsPosition.Era < s.reading.era
+}
+
+// readRestored has a host that read of a restore itself read the rest anew, too. The
+// others hear of it.
+func (s *Steerer) readRestored() {
+	if s.leftBehind() {
+		s.reading.targets.urgent = true
+	}
+	if orders := s.evacuator.Orders().Position; orders.Known() && orders.Era < s.reading.era {
+		s.reading.settings.urgent = true
+	}
+}
+
+// noteListed takes in that this host's targets are complete as of a later position than
+// before, and how many of them were missing.
+func (s *Steerer) noteListed(earlier sequencer.Position, missing int, from string) {
+	switch {
+	case !earlier.Known():
+		s.logFirstTargets(from)
+	case earlier.Era < s.targetsPosition.Era:
+		s.noteReread(earlier, missing, from)
+	}
+}
+
+// noteReread dates all that is known of targets to the list of a new era. Word of hosts
+// that have only seen an earlier one says nothing against it.
+func (s *Steerer) noteReread(earlier sequencer.Position, missing int, from string) {
+	doubted := 0
+	for _, t := range s.targets.byID {
+		if t.seen.Era < s.targetsPosition.Era {
+			t.seen = s.targetsPosition
+		}
+		if s.doubtsRestored(t) {
+			doubted++
+		}
+	}
+	s.peers.news = true
+	s.log("targetsReread", field("targets", itoa(len(s.targets.byID))), field("missing", itoa(missing)), field("doubted", itoa(doubted)),
+		field("earlierRevision", earlier.String()), field("revision", s.targetsPosition.String()), field("from", from))
+}
+
+// restoredState is what was known of a target that a restored store lists as ready.
+type restoredState struct {
+	// draining and gone say that it was.
+	draining bool
+	gone     bool
+	// deadline is until when that counts.
+	deadline timekeeper.Instant
+}
+
+func (r restoredState) String() string {
+	if r.draining {
+		return "draining"
+	}
+	return "no longer listed"
+}
+
+// restoredState returns what a restored store has forgotten of a target, which is known
+// if it is not nil.
+//
+// What goes wrong without it: a target drains, or has left, and the copy is from before
+// that. New flows go to it until it has said so again, at once on every host, and end with
+// it; its address may have been given to another target, which does not answer them. One
+// notices by flows that do not open, or are cut, in the seconds after "storeRestored".
+func (s *Steerer) restoredState(known *target, record Target, seen sequencer.Position) restoredState {
+	crosses := s.targetsPosition.Known() && s.targetsPosition.Era < seen.Era
+	if !crosses || known == nil || known.Born != record.Born || record.Draining || !(known.Draining || known.missing) {
+		return restoredState{}
+	}
+	return restoredState{draining: known.Draining, gone: known.missing, deadline: s.now.Add(sequencer.RewriteTime)}
+}
+
+// doubtsRestored reports whether a target gets no new flows since it was draining or gone
+// before the platform was restored. One that was merely gone may show that it lives.
+func (s *Steerer) doubtsRestored(t *target) bool {
+	if t.restored.deadline.Passed(s.now) {
+		return false
+	}
+	return t.restored.draining || (t.restored.gone && !s.livesNow(t))
+}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -22,6 +22,7 @@
 	"cranberryspan.dev/core/diagnoser"
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/recorder"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 	"cranberryspan.dev/core/warmer"
 	"github.com/cespare/xxhash/v2"
@@ -86,9 +87,9 @@
 	diagnoser *diagnoser.Diagnoser
 
 	targets table
-	// targetsRevision is the newest revision of the platform that is reflected
-	// in targets; 0 before any.
-	targetsRevision uint64
+	// targetsPosition is the newest position of the platform's history that is reflected
+	// in targets.
+	targetsPosition sequencer.Position
 	// targetSweepDeadline is when all targets are next looked at.
 	targetSweepDeadline timekeeper.Instant
 	// malformed holds the digests of the entries that last named no target.
@@ -191,6 +192,7 @@
 	s.pacingTick()
 	s.expireFlows()
 	s.targetsTick()
+	s.expireOrders()
 	s.peersTick()
 	s.readingTick()
 	s.askingTick()
--- a/core/steerer/table.go
+++ b/core/steerer/table.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"cranberryspan.dev/core/sequencer"
 )
 
 // table holds the targets that this host knows.
@@ -27,7 +29,7 @@
 
 // put adds a target or changes what is known of it. It reports whether another
 // target already has its tag; such a target can't be told apart in packets.
-func (t *table) put(record Target, seen uint64) (*target, bool) {
+func (t *table) put(record Target, seen sequencer.Position) (*target, bool) {
 	t.digestValid = false
 	one, known := t.byID[record.ID]
 	if !known {
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberryspan.dev/core/pacer"
+	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cespare/xxhash/v2"
 )
@@ -73,19 +74,22 @@
 	// listedUnder is the service in whose list of choices the target stands; empty if
 	// in none.
 	listedUnder string
-	// seen is the revision of the platform at which the state was first read. Of
+	// seen is the position of the platform's history at which the state was first read. Of
 	// two states of a target that hosts tell each other the one seen later holds.
-	seen uint64
+	seen sequencer.Position
 	// missing is set while the platform lists the target no more.
 	missing bool
 	// unreadable is set while the platform lists an entry under the target's ID that
 	// names no target. The target is missing, too.
 	unreadable bool
-	// bornAt is the platform's revision at which this life was first read; 0 for the
-	// first life that this host knows.
-	bornAt uint64
+	// bornAt is the position at which this life was first read; zero for the first life
+	// that this host knows.
+	bornAt sequencer.Position
 	// missingSince is when that was noticed.
 	missingSince timekeeper.Instant
+	// restored is what the platform's former life had told of the target when a restored
+	// one listed it as ready.
+	restored restoredState
 	// warmUpDeadline is when the target has its full speed.
 	warmUpDeadline timekeeper.Instant
 
--- a/operator/internal/printer/routes.go
+++ b/operator/internal/printer/routes.go
@@ -93,7 +93,7 @@
 // Knowledge writes what hosts know of settings and targets, and from whom.
 func (p Printer) Knowledge(hosts []HostKnowledge) error {
 	return p.print(hosts, func(w io.Writer) {
-		row(w, "HOST", "NAME", "VERSION", "FROM", "AGE", "CONFIRMED BY", "EVACUATED", "REVISION", "AGE", "CONFIRMED BY", "RANK", "LIVE", "PLATFORM")
+		row(w, "HOST", "NAME", "VERSION", "FROM", "AGE", "CONFIRMED BY", "EVACUATED", "ERA", "REVISION", "AGE", "CONFIRMED BY", "RANK", "LIVE", "PLATFORM")
 		for _, h := range hosts {
 			if h.Error != "" {
 				row(w, h.Admin, h.Error)
@@ -104,11 +104,23 @@
 				platform = "lost"
 			}
 			row(w, h.Admin, k.Host, k.Version, k.SettingsFrom, rounded(k.SettingsAge), k.SettingsConfirmedBy,
-				evacuated(k), k.Revision, rounded(k.TargetsAge), k.TargetsConfirmedBy, k.Rank, k.Live, platform)
+				evacuated(k), era(k), k.Revision, rounded(k.TargetsAge), k.TargetsConfirmedBy, k.Rank, k.Live, platform)
 		}
 	})
 }
 
+// era writes the era of the platform's history that a host's targets are of, and the newest
+// that it has heard of if that is another.
+func era(k *steerer.KnowledgeStatus) string {
+	switch {
+	case k.Era == 0:
+		return "none"
+	case k.TargetsEra < k.Era:
+		return fmt.Sprintf("%d of %d", k.TargetsEra, k.Era)
+	}
+	return fmt.Sprint(k.Era)
+}
+
 // evacuated names the zones that a host knows to be evacuated.
 func evacuated(k *steerer.KnowledgeStatus) string {
 	switch {
