--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -178,7 +178,7 @@
 		s.peers.changed' 'if true {
 		s.peers.changed' TestFirstListIsNoNews
 without "targets before settings" steerer/reading.go '&& !s.targetsFirst() {' '{' TestTargetsAreReadBeforeTheSettings
-without "numbers of reads" steerer/reading.go 'moment = src.earliest(read, moment)' '' TestKnowledgeAgesWhileNobodyReads
+without "numbers of reads" steerer/reading.go 'moment := src.earliest(c.read, c.moment)' 'moment := c.moment' TestKnowledgeAgesWhileNobodyReads
 without "orders to evacuate zones" steerer/choosing.go 'case view.evacuated:' 'case false && view.evacuated:' 'TestEvacuatedZoneGetsNoNewFlows|TestOrdersHoldUnderFaults'
 without "copies that obey orders" steerer/steering.go 's.excluded(f.target, s.views(c)) == notExcluded' 'true' TestCopiesObeyOrders
 without "checks that obey orders" steerer/health.go '&& !t.missing && !s.evacuator.Evacuates(t.AvailabilityZone) {' '&& !t.missing {' TestEvacuatedTargetsAreNotChecked
@@ -189,7 +189,7 @@
 without "an end of waiting for the zone" steerer/returning.go '|| s.config.Start.Add(zonePatience).Passed(s.now) {' '{' TestHostWaitsForItsZoneForAWhileOnly
 without "the end of orders out of touch" steerer/orders.go 'return age(s.now, s.reading.settings.confirmed) > s.publishedWithin()' 'return false' TestHostOutOfTouchServesWhatItCan
 without "orders that hold in an outage" steerer/choosing.go 'if v.lastResort {' 'if false {' TestOutageOfThePlatformDoesNotEndOrders
-without "orders in reports" steerer/reports.go 's.takeOrders(evacuator.Orders{Revision: r.OrdersRevision, Zones: r.Evacuated}, p.name)' '_ = evacuator.Orders{}' 'TestHostThatStartsInAnOutageLearnsOrders|TestHostThatIsTurnedAwayLearnsOrders'
+without "orders in reports" steerer/reports.go 's.takeOrders(evacuator.Orders{Position: sequencer.At(r.OrdersEra, r.OrdersRevision), Zones: r.Evacuated}, p.name)' '_ = evacuator.Orders{}' 'TestHostThatStartsInAnOutageLearnsOrders|TestHostThatIsTurnedAwayLearnsOrders'
 without "reads as often as orders need" steerer/orders.go 'if s.config.EvacuatedWithin > 0 {' 'if false {' TestOrdersAreReadAsOftenAsTheyNeed
 without "tickets for cold targets" steerer/cold.go '!s.leaving.begun && t.AvailabilityZone == s.config.AvailabilityZone && s.warmer.Admits(t.ID, bound, s.now)' 'true' 'TestColdTargetsGetWhatTheyBear|TestReturnedZoneIsCold'
 without "the warm-up of a zone that is back" steerer/cold.go 'return ok && !lifted' 'return ok && false && !lifted' TestReturnedZoneIsCold
@@ -208,7 +208,7 @@
 without "own reads that allow for transfers" steerer/asking.go 'return boundedWait(within, share, left)' 'return portion(within, share) + 0*left' TestNewSettingsReachSmallLinksInTime
 
 package=evacuator
-without "the order of orders" evacuator/evacuator.go 'if orders.Revision <= e.orders.Revision {' 'if false {' 'TestOlderViewsChangeNothing|TestOrdersAgainstOracle'
+without "the order of orders" evacuator/evacuator.go 'if !e.orders.Position.Before(orders.Position) {' 'if false {' 'TestOlderViewsChangeNothing|TestOrdersAgainstOracle'
 
 package=diagnoser
 without "patience of late hosts" diagnoser/diagnoser.go 'patience += lagFactor * d.lag' 'patience += 0 * lagFactor * d.lag' TestLateHostWaitsLonger
@@ -226,5 +226,25 @@
 without "the turn of those that will be late" pacer/line.go 'if r.turnDeadline.Passed(now) {' 'if false {' TestWaitIsBounded
 without "the end of pacing" pacer/pacer.go '(before && l.pressure > calmBelow)' 'before' TestUsualLoadDoesNotWait
 
+package=sequencer
+without "eras in the order of positions" sequencer/sequencer.go 'if c := cmp.Compare(p.Era, other.Era); c != 0 {' 'if c := cmp.Compare(p.Era, other.Era); false && c != 0 {' TestPositionsAreOrderedLikePairs
+without "whole lists across eras" sequencer/sequencer.go 'return other.Known() && p.Era == other.Era' 'return other.Known()' TestPositionsAreOrderedLikePairs
+
+package=steerer
+without "eras before revisions" sequencer/sequencer.go 'if c := cmp.Compare(p.Era, other.Era); c != 0 {' 'if c := cmp.Compare(p.Era, other.Era); false && c != 0 {' 'TestRestoredListIsTaken|TestErasAgainstOracle'
+without "whole lists of a new era" sequencer/sequencer.go 'return other.Known() && p.Era == other.Era' 'return other.Known()' TestWholeListEndsWhatOnlyAnEndedEraHad
+without "questions after a restore" steerer/asking.go '|| s.leftBehind() || differs' '|| differs' TestHostThatWasCutOffLearnsOfTheNewEraFromOthers
+without "confirmations of this era only" steerer/reports.go '|| r.era < s.reading.era {' '{' TestConfirmationsOfAnEndedEraDoNotCount
+without "late answers left out" steerer/reading.go 'err == nil && position.Era < s.reading.era' 'err == nil && false' TestLateReadMakesNoEndedEraLookFresh
+without "states of this era only" steerer/reports.go 'if seen.Era < s.targetsPosition.Era {' 'if false {' TestHostOfAnEndedEraConvincesNobody
+without "dates of a new era" steerer/restoring.go 't.seen = s.targetsPosition' '_ = t' TestHostThatMissedAWriteLearnsItAfterARestore
+without "doubt of targets that had left" steerer/choosing.go '|| s.doubtsRestored(t):' ':' 'TestTargetThatHadLeftGetsNothingWhenItIsListedAgain'
+without "drains that a copy lacks" steerer/restoring.go 't.restored.draining ||' '' TestTargetThatDrainedBeforeARestoreGetsNothing
+without "grace for targets that a copy lacks" steerer/listing.go 'return !lapsing || !s.livesNow(t)' 'return !lapsing || !s.livesNow(t) || true' TestLiveTargetsThatACopyLacksGoOnServing
+without "orders that a copy lacks" evacuator/evacuator.go 'case restored:' 'case restored && false:' TestOrderThatACopyLacksHoldsUntilItIsGivenAgain
+without "the end of orders not given again" steerer/steerer.go 's.expireOrders()' '' TestOrderThatIsNotGivenAgainEnds
+without "reads of all that a restore has undone" steerer/restoring.go 's.reading.targets.urgent = true' '_ = s' TestRestoreFoundByOneReadHasTheOtherFollow
+without "versions that never go back" steerer/reading.go 'if s.settings != nil && settings.Version <= s.settings.Version {' 'if false {' TestPublishedVersionNeverGoesBack
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -54,6 +54,9 @@
 	{"forgetHistory", true, forgetHistory},
 }
 
+// restores come with Config.Restores only.
+var restores = fault{"restoreStore", false, restoreStore}
+
 // evacuation comes with Config.Orders only.
 var evacuation = fault{"evacuateZone", true, evacuateZone}
 
@@ -187,13 +190,9 @@
 
 func harmStoreForAll(ctx context.Context, s *soak) string {
 	mode, span := s.mode(), s.span(5*time.Second)
-	for _, h := range s.fleet.hosts {
-		s.fleet.store.Treat(h.Name, mode)
-	}
+	s.treatAll(mode)
 	wait(ctx, span)
-	for _, h := range s.fleet.hosts {
-		s.fleet.store.Treat(h.Name, platformtest.ModeServing)
-	}
+	s.treatAll(platformtest.ModeServing)
 	return fmt.Sprintf("mode %d for %s", mode, span)
 }
 
@@ -389,6 +388,38 @@
 	return replaced
 }
 
+// restoreStore has the store go away for a moment and come back from a copy some seconds
+// old, now and then twice; what was lost is written again within two seconds.
+func restoreStore(ctx context.Context, s *soak) string {
+	if !s.restoring.TryLock() {
+		return "nothing, since it is under way"
+	}
+	defer s.restoring.Unlock()
+	from, age := s.fleet.store.Copy(), s.span(5*time.Second)
+	wait(ctx, age)
+	times := 1 + s.pick(2)
+	for range times {
+		away := s.span(time.Second)
+		s.treatAll(platformtest.ModeLost)
+		wait(ctx, away)
+		rewrite := s.fleet.store.Restore(from)
+		s.treatAll(platformtest.ModeServing)
+		wait(ctx, s.span(rewriteTime))
+		rewrite()
+	}
+	return fmt.Sprintf("%d times, from %s", times, age)
+}
+
+// rewriteTime is within what time everybody writes again what a restore has lost.
+const rewriteTime = 2 * time.Second
+
+// treatAll sets how the store treats all hosts.
+func (s *soak) treatAll(mode platformtest.Mode) {
+	for _, h := range s.fleet.hosts {
+		s.fleet.store.Treat(h.Name, mode)
+	}
+}
+
 // overload lets every target take twenty times as long, so that more is asked of them
 // than they can do.
 func overload(ctx context.Context, s *soak) string {
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -62,6 +62,8 @@
 	Newest bool
 	// Orders lets operators evacuate zones besides, for the same reason.
 	Orders bool
+	// Restores lets the store come back from copies besides, for the same reason.
+	Restores bool
 	// Gap is the mean pause between two faults.
 	Gap time.Duration
 	// NoFailures makes every attempt that is not answered a problem.
@@ -119,6 +121,7 @@
 	problems  []string
 
 	orders     orders
+	restoring  sync.Mutex
 	publishing sync.Mutex
 	version    uint64
 	optional   bool
@@ -315,6 +318,9 @@
 		if s.config.Orders {
 			kinds = append(slices.Clone(kinds), evacuation)
 		}
+		if s.config.Restores {
+			kinds = append(slices.Clone(kinds), restores)
+		}
 		f := kinds[s.pick(len(kinds))]
 		if len(s.config.Only) > 0 && !slices.Contains(s.config.Only, f.name) {
 			continue
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -26,6 +26,7 @@
 			&cli.BoolFlag{Name: "later", Value: true, Usage: "also the faults that were added after the kept seeds"},
 			&cli.BoolFlag{Name: "newest", Value: true, Usage: "all faults, also those that were added last"},
 			&cli.BoolFlag{Name: "orders", Value: true, Usage: "also orders to evacuate zones"},
+			&cli.BoolFlag{Name: "restores", Value: true, Usage: "also restores of the store from a copy"},
 			&cli.DurationFlag{Name: "gap", Value: 700 * time.Millisecond, Usage: "mean pause between two faults"},
 		},
 	}
@@ -37,7 +38,8 @@
 		report, err := soaker.Run(ctx, soaker.Config{
 			Seed: command.Uint64("seed") + uint64(i), Duration: command.Duration("duration"), Program: command.String("program"),
 			Zones: command.IntSlice("zones"), Callers: command.Int("callers"), Targets: command.Int("targets"),
-			Later: command.Bool("later"), Newest: command.Bool("newest"), Orders: command.Bool("orders"), Block: command.Int("block"), Only: command.StringSlice("only"), Gap: command.Duration("gap"),
+			Later: command.Bool("later"), Newest: command.Bool("newest"), Orders: command.Bool("orders"), Restores: command.Bool("restores"),
+			Block: command.Int("block"), Only: command.StringSlice("only"), Gap: command.Duration("gap"),
 		})
 		if err != nil {
 			return err
--- a/standin/soak_test.go
+++ b/standin/soak_test.go
@@ -115,3 +115,14 @@
 		Only: []string{"evacuateZone", "publish", "terminate"}, NoFailures: true,
 	})
 }
+
+// Symptom: callers are cut or refused, targets that drain get flows, or versions go back,
+// after the store has come back from a copy. Sequence: it is restored, at times twice,
+// while targets are replaced, zones evacuated, versions published and hosts stopped.
+func TestStoreThatComesBackFromACopyFailsNobody(t *testing.T) {
+	t.Parallel()
+	soakOnce(t, soaker.Config{
+		Seed: 9, Block: 72, Zones: []int{2, 2}, Duration: 12 * time.Second, Gap: 900 * time.Millisecond, Orders: true, Restores: true,
+		Only: []string{"restoreStore", "replaceTarget", "publish", "evacuateZone", "terminate"}, NoFailures: true,
+	})
+}
