--- a/core/steerer/restoring.go
+++ b/core/steerer/restoring.go
@@ -93,7 +93,10 @@
 // notices by flows that do not open, or are cut, in the seconds after "storeRestored".
 func (s *Steerer) restoredState(known *target, record Target, seen sequencer.Position) restoredState {
 	crosses := s.targetsPosition.Known() && s.targetsPosition.Era < seen.Era
-	if !crosses || known == nil || known.Born != record.Born || record.Draining || !(known.Draining || known.missing) {
+	if !crosses || known == nil || known.Born != record.Born || record.Draining {
+		return restoredState{}
+	}
+	if !known.Draining && !known.missing {
 		return restoredState{}
 	}
 	return restoredState{draining: known.Draining, gone: known.missing, deadline: s.now.Add(sequencer.RewriteTime)}
--- a/core/steerer/restoring_test.go
+++ b/core/steerer/restoring_test.go
@@ -115,7 +115,7 @@
 
 // logged lists a host's log lines of an event.
 func (f *fleet) logged(name, event string) []steerer.Logged {
-	return slices.DeleteFunc(slices.Clone(f.hosts[name].logs), func(l steerer.Logged) bool { return l.Line.Event != event })
+	return slices.DeleteFunc(slices.Clone(f.hosts[name].logs), func(l steerer.Logged) bool { return l.Event != event })
 }
 
 // Symptom: a restored platform's list is undone on all hosts. Sequence: a host is cut off
