--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -145,7 +145,7 @@
 	agrees, newest, position := false, uint64(0), sequencer.Position{}
 	for _, p := range s.peers.ordered() {
 		if p.hears(s.now) && p.position.Known() {
-			agrees = agrees || p.digest == s.targets.digest()
+			agrees = agrees || (p.position.Era == s.targetsPosition.Era && p.digest == s.targets.digest())
 			newest = max(newest, p.version)
 			position = position.Later(p.position)
 		}
@@ -239,10 +239,11 @@
 }
 
 // takeTargets takes in the targets that another host knows. An answer from a later era
-// than this host's targets is a whole list: changes lead from no era to another.
+// than this host's targets is a whole list: changes lead from no era to another. One from
+// an era that has ended is better than nothing only.
 func (s *Steerer) takeTargets(k *messenger.Knowledge, from string) {
 	position := sequencer.At(k.TargetsEra, k.Revision)
-	if position.Era < s.reading.era {
+	if position.Era < s.reading.era && s.targetsPosition.Known() {
 		return
 	}
 	s.noteEra(position.Era, from)
--- a/core/steerer/restoring_test.go
+++ b/core/steerer/restoring_test.go
@@ -338,6 +338,30 @@
 	f.requireAll(drained, true, true)
 }
 
+// Symptom: a host that starts serves nobody, though others could tell it where packets go.
+// Sequence: it starts after a restore, while the platform turns everybody away; it has
+// heard of the new era, and only a host of the old one is left to tell it targets. Cause:
+// what is of an ended era is not taken by a host that knows nothing.
+func TestHostThatKnowsNothingTakesWhatAnEndedEraTells(t *testing.T) {
+	f := newEraFleet(t, 2)
+	f.down = true
+	f.kill("a1")
+	f.start("a1")
+	f.reduce("a1", &steerer.ReportReceived{From: "a3", Report: &messenger.Report{
+		Address: f.hosts["a2"].address, AvailabilityZone: "a", Incarnation: 1, OrdersRevision: 5, OrdersEra: 4,
+	}})
+	f.step(time.Second)
+	require.Equal(t, uint64(4), f.knowledge("a1").Era)
+	require.Equal(t, uint64(3), f.knowledge("a1").TargetsEra)
+	f.requireSame("a1", "a2")
+	require.Greater(t, f.knowledge("a1").TargetsAge, 10*time.Minute, "nothing of the new era confirms it")
+	f.down = false
+	f.restore(f.backup())
+	f.step(2 * time.Second)
+	f.requireSame("a1", "a2")
+	require.Equal(t, uint64(4), f.knowledge("a1").TargetsEra)
+}
+
 func TestTwoRestoresAreTwoEras(t *testing.T) {
 	f := newEraFleet(t, 2, 1)
 	before := f.backup()
