Hosts learn how fast targets are, tell each other, and place flows by time

A target that takes five times as long looks as good as its siblings while it has a free slot: load counted requests under way alone. core/estimator keeps, per target, a held-back mean of the time taken over the time expected, per service and zone the quick quarter of it, and bounded trials of targets that are believed slow. Quick answers move there.

--- /dev/null
+++ b/core/estimator/trials.go
@@ -0,0 +1,45 @@
+package estimator
+
+import (
+	"time"
+
+	"cranberryspan.dev/core/timekeeper"
+)
+
+const (
+	// trialsPerSecond is how many requests a second all hosts of a zone together send a
+	// slow target to learn whether it is quick again: four in the two seconds after which
+	// it should have its share back.
+	trialsPerSecond = 2
+	// enoughSamples makes trials needless: open flows of the target show how fast it is.
+	enoughSamples = 3
+	// flowsForTrial is of how many new flows of a host one may be a trial, so that many
+	// slow targets together cost few callers.
+	flowsForTrial = 16
+)
+
+// Trials bounds the flows that a host places to learn, not for the quickest answer.
+type Trials struct {
+	flows int
+}
+
+// Next counts a new flow and reports whether it may be a trial.
+func (r *Trials) Next() bool {
+	r.flows++
+	return r.flows%flowsForTrial == 0
+}
+
+// TrialDue reports whether a slow target should be tried by this host.
+func (t *Target) TrialDue(now timekeeper.Instant) bool {
+	return t.slow && t.all.weight < enoughSamples && t.trial.Passed(now)
+}
+
+// SetTrial sets when this host, one of some in the zone, tries the target next. Chance is
+// between 0 and 1, and keeps hosts that learned of it together from trying together.
+func (t *Target) SetTrial(hosts int, chance float64, now timekeeper.Instant) {
+	pause := time.Duration(max(hosts, 1)) * time.Second / trialsPerSecond
+	t.trial = now.Add(time.Duration((0.5 + chance) * float64(pause)))
+}
+
+// Trial is when this host may try the target next.
+func (t *Target) Trial() timekeeper.Instant { return t.trial }
--- /dev/null
+++ b/core/estimator/zone.go
@@ -0,0 +1,76 @@
+package estimator
+
+import (
+	"slices"
+	"time"
+
+	"cranberryspan.dev/core/timekeeper"
+)
+
+const (
+	// zoneSamples is how many of a host's last answers tell how fast a zone is. A host that
+	// gets 40 a second sees most of a change within a third of one.
+	zoneSamples = 24
+	// zoneMemory ends belief in a zone from which nothing comes.
+	zoneMemory = 2 * time.Second
+	// leastZoneSamples are needed to believe anything of a zone.
+	leastZoneSamples = 3
+	// quickPart of the samples are quicker than what is taken for the zone's own speed:
+	// it stays where it is as long as a quarter of the work meets quick targets.
+	quickPart = 0.25
+)
+
+// Zone is how fast the targets of a service in a zone are together, as one host sees it.
+// The zero Zone knows nothing.
+type Zone struct {
+	samples [zoneSamples]zoneSample
+	next    int
+	// excess is kept by Refresh.
+	excess float64
+}
+
+type zoneSample struct {
+	excess float64
+	at     timekeeper.Instant
+}
+
+// Observe takes in a sample, and returns what is beyond the zone's own.
+func (z *Zone) Observe(excess float64, now timekeeper.Instant) float64 {
+	z.samples[z.next] = zoneSample{excess, now}
+	z.next = (z.next + 1) % zoneSamples
+	z.Refresh(now)
+	return excess - z.excess
+}
+
+// Correct replaces a sample of a request that was still waiting when it was taken.
+func (z *Zone) Correct(from, to float64, now timekeeper.Instant) {
+	for i := range z.samples {
+		if one := &z.samples[i]; one.at != 0 && one.excess == from {
+			one.excess = to
+			z.Refresh(now)
+			return
+		}
+	}
+}
+
+// Refresh works out anew how fast the zone is.
+func (z *Zone) Refresh(now timekeeper.Instant) {
+	var recent [zoneSamples]float64
+	count := 0
+	for _, one := range z.samples {
+		if one.at != 0 && now.Since(one.at) < zoneMemory {
+			recent[count] = one.excess
+			count++
+		}
+	}
+	z.excess = 0
+	if count < leastZoneSamples {
+		return
+	}
+	slices.Sort(recent[:count])
+	z.excess = max(recent[int(quickPart*float64(count))], 0)
+}
+
+// Excess is the logarithm of the zone's time for a request as a multiple of the usual: 0
+// unless even its quick answers take longer than usual.
+func (z *Zone) Excess() float64 { return z.excess }
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -1,6 +1,10 @@
 package steerer
 
-import "slices"
+import (
+	"slices"
+
+	"cranberryspan.dev/core/estimator"
+)
 
 const (
 	// openFlowLoad counts an open flow that waits for nothing as this part of a
@@ -15,6 +19,12 @@
 	// warmingLoad multiplies the load of a target that has just started. Such
 	// targets take about 1.6 times as long.
 	warmingLoad = 1.6
+	// maxSlowLoad bounds what is added for a target that takes longer than usual: less than
+	// doubtedLoad, since a slow target answers.
+	maxSlowLoad = 8
+	// quickLoad is added to the load of a target that fails its work, in requests a slot:
+	// it gets flows only when its siblings are busy, so a false alarm costs little.
+	quickLoad = 2.0
 	// tieSpread orders targets of equal load by the flow's hash, so that hosts
 	// which do not know of each other's choice make different ones. It is less
 	// than the smallest difference in load.
@@ -52,6 +62,9 @@
 	evacuated  bool
 	lastResort bool
 	doubted    bool
+	// slowness is the logarithm of the time that the service takes there, as a multiple of
+	// the usual.
+	slowness float64
 }
 
 // views looks at all zones, since a choice looks at many targets of each.
@@ -66,6 +79,7 @@
 			evacuated:  evacuated && !outOfTouch,
 			lastResort: evacuated && outOfTouch,
 			doubted:    zone == c.silentZone || s.diagnoser.ZoneDoubted(zone, s.now),
+			slowness:   s.speedZone(c.service, zone).Excess(),
 		})
 	}
 	return s.zoneViews
@@ -88,11 +102,14 @@
 	var best *target
 	var bestLoad float64
 	views := s.views(&c)
+	if t := s.trial(c, views); t != nil {
+		return t
+	}
 	for _, t := range s.targets.byService[c.service] {
 		if s.excluded(t, views) != notExcluded || !s.admits(t) {
 			continue
 		}
-		load := s.load(t, c.hash) + views[t.zone].load()
+		load := s.load(t, &views[t.zone], c.hash) + views[t.zone].load()
 		if t == c.avoid {
 			load += unreachableLoad
 		}
@@ -150,13 +167,14 @@
 		field("outsideRegions", itoa(counts[excludedRegion])), field("evacuated", itoa(counts[excludedZone])), field("cold", itoa(counts[notExcluded])))
 }
 
-// load estimates how long a new request would wait at a target, in requests a
-// slot.
+// load estimates how long a new request would take at a target: what others there make it
+// wait for, in requests a slot, and by how much the target is slower than usual, in the
+// same unit.
 //
 // A flow that has not opened yet counts as a request. What goes wrong otherwise: a
 // target that has crashed resets each new flow at once, so it has the least load of
 // all, and callers are sent there again and again until it is found out.
-func (s *Steerer) load(t *target, hash uint64) float64 {
+func (s *Steerer) load(t *target, view *zoneView, hash uint64) float64 {
 	idle := max(t.flows-t.busy-t.opening, 0)
 	load := (float64(t.underWay()) + openFlowLoad*float64(idle)) / float64(max(t.Slots, 1))
 	if s.full() {
@@ -165,6 +183,9 @@
 	if s.cold(t) {
 		load = (load + 1/float64(max(t.Slots, 1))) * warmingLoad
 	}
+	if slowness := view.slowness + t.pace.Slowness(); slowness > 0 {
+		load += min((estimator.Factor(slowness)-1)*(1+load), maxSlowLoad)
+	}
 	if s.failsWork(t) {
 		load += quickLoad
 	}
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -35,13 +35,17 @@
 	RequestPaced
 	// DropStale counts packets that came while this host stood still.
 	DropStale
+	// TargetSlow counts targets that turned slow, TrialFlow the flows that went to a slow
+	// target to learn whether it is quick again.
+	TargetSlow
+	TrialFlow
 	numCounts
 )
 
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale", "targetSlow", "trialFlow",
 	}[c]
 }
 
@@ -61,7 +65,9 @@
 	// targets that have just started or whose zone has just been taken back.
 	Evacuated int
 	Cold      int
-	Peers     int
+	// Slow counts the targets that take markedly longer than others of their zone.
+	Slow  int
+	Peers int
 	// Live counts those of the other hosts that live as far as anybody says.
 	Live    int
 	Version uint64
@@ -93,6 +99,9 @@
 		if t.health.unreachable() {
 			snapshot.Unreachable++
 		}
+		if t.pace.Slow() {
+			snapshot.Slow++
+		}
 		if s.cold(t) {
 			snapshot.Cold++
 		}
--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -1,5 +1,280 @@
 package steerer
 
+import (
+	"fmt"
+	"time"
+
+	"cranberryspan.dev/core/estimator"
+	"cranberryspan.dev/core/messenger"
+)
+
+const (
+	// overdueTimes times what is expected is how long a request waits before that says
+	// something of its target: by chance one in some twenty takes so long.
+	overdueTimes = 3
+	// maxQuick bounds the targets that a report names as failing their work, maxPaces
+	// those whose speed it tells.
+	maxQuick = 32
+	maxPaces = 32
+	// doubtfulZone is the logarithm of a zone's time, as a multiple of the usual, from
+	// which its answers hardly change what is usual.
+	doubtfulZone = 0.5
+)
+
+// serviceZone is a service's part in an availability zone.
+type serviceZone struct {
+	service string
+	zone    string
+}
+
+// estimating is what a host knows of how fast targets are, beside what is kept with each.
+type estimating struct {
+	zones map[serviceZone]*estimator.Zone
+	// active are the targets of which something is known, the longest known first.
+	active []*target
+	// turn is from where the next report tells of them.
+	turn   int
+	trials estimator.Trials
+	// overdue are requests that may wait for longer than expected.
+	overdue flowChecks
+}
+
+// speedZone returns what is known of a service's targets in a zone.
+func (s *Steerer) speedZone(service, zone string) *estimator.Zone {
+	key := serviceZone{service, zone}
+	z, ok := s.estimating.zones[key]
+	if !ok {
+		z = &estimator.Zone{}
+		s.estimating.zones[key] = z
+	}
+	return z
+}
+
 // slowness is how much longer a target takes for a request than is usual: 1 is usual,
 // 2 twice as long.
-func (s *Steerer) slowness(*target) float64 { return 1 }
+func (s *Steerer) slowness(t *target) float64 {
+	return estimator.Factor(s.speedZone(t.Service, t.AvailabilityZone).Excess() + t.pace.Slowness())
+}
+
+// expectAnswer notes when the answer to a request that begins is expected.
+func (s *Steerer) expectAnswer(key flowKey, f *flow) {
+	f.expected, f.assumed = 0, 0
+	u, ok := s.usual[f.route.Name]
+	if !ok || !u.known() {
+		return
+	}
+	f.expected = time.Duration(float64(u.median) * estimator.Wait(f.target.underWay(), f.target.Slots))
+	s.estimating.overdue.add(flowCheck{key: key, since: s.now, deadline: s.now.Add(overdueTimes * f.expected)})
+}
+
+// checkOverdue learns from requests that wait for longer than expected.
+//
+// What goes wrong if only answers count: a target hangs, or takes seconds, and gets new
+// flows until the first of its answers comes. One notices by callers that all wait at one
+// target whose siblings are idle.
+func (s *Steerer) checkOverdue() {
+	s.estimating.overdue.eachDue(s.now, func(check flowCheck) {
+		f := s.flows[check.key]
+		if f == nil || !f.waiting || f.waitingSince != check.since || f.expected == 0 || !s.trusts() {
+			return
+		}
+		waited := s.now.Since(f.waitingSince)
+		s.learnSpeed(f, waited)
+		if waited < f.route.Timeout {
+			s.estimating.overdue.add(flowCheck{key: check.key, since: check.since, deadline: s.now.Add(waited)})
+		}
+	})
+}
+
+// learnSpeed learns from the time that a request took, or has been waiting for. Cold
+// targets are known to be slow, and what this host held up says nothing.
+func (s *Steerer) learnSpeed(f *flow, took time.Duration) {
+	t := f.target
+	if f.expected == 0 || !s.pause.trustDeadline.Passed(s.now) || s.cold(t) {
+		return
+	}
+	z := s.speedZone(t.Service, t.AvailabilityZone)
+	excess := estimator.Excess(took, f.expected, 1)
+	if f.assumed != 0 {
+		z.Correct(f.assumed, excess, s.now)
+		t.pace.Correct(f.assumed-z.Excess(), excess-z.Excess(), s.now)
+	} else {
+		t.pace.Observe(z.Observe(excess, s.now), s.now)
+	}
+	f.assumed = excess
+	s.refreshSpeed(t, "own")
+}
+
+// refreshSpeed works out anew what is believed of a target.
+func (s *Steerer) refreshSpeed(t *target, cause string) {
+	if !t.estimated {
+		t.estimated = true
+		s.estimating.active = append(s.estimating.active, t)
+	}
+	if !t.pace.Refresh(s.now) {
+		return
+	}
+	event := "targetQuickAgain"
+	if t.pace.Slow() {
+		event = "targetSlow"
+		s.counts.add(TargetSlow)
+		t.pace.SetTrial(s.hostsInZone(), s.random.Float64(), s.now)
+	}
+	all, own := t.pace.Samples()
+	s.log(event, field("target", t.ID), field("service", t.Service), field("zone", t.AvailabilityZone),
+		field("times", fmt.Sprintf("%.2f", estimator.Factor(t.pace.Excess()))), field("samples", fmt.Sprintf("%.1f", all)),
+		field("own", fmt.Sprintf("%.1f", own)), field("cause", cause))
+}
+
+// estimatingTick lets what is known grow old.
+func (s *Steerer) estimatingTick() {
+	s.checkOverdue()
+	for _, z := range s.estimating.zones {
+		z.Refresh(s.now)
+	}
+	kept := s.estimating.active[:0]
+	for _, t := range s.estimating.active {
+		s.refreshSpeed(t, "age")
+		if t.pace.Idle() {
+			t.estimated = false
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(s.estimating.active[len(kept):])
+	s.estimating.active = kept
+}
+
+// hostsInZone counts the hosts of this one's zone that live, itself among them.
+func (s *Steerer) hostsInZone() int {
+	count := 1
+	for _, p := range s.peers.ordered() {
+		if p.zone == s.config.AvailabilityZone && !p.leaving && p.mentioned(s.now, s.mentionSilence()) {
+			count++
+		}
+	}
+	return count
+}
+
+// trial picks a slow target that a new flow should go to, so that one that is quick again
+// is found out; nil if none is due. It may also lift what is believed of slow zones.
+//
+// What goes wrong without trials: a slow target gets no flows, so nobody learns that it has
+// recovered. And what goes wrong if it is merely forgotten to be slow: all hosts of the
+// zone do so in the same moment, and it gets a queue of callers before the first answer.
+func (s *Steerer) trial(c choice, views []zoneView) *target {
+	if c.avoid != nil || !s.estimating.trials.Next() {
+		return nil
+	}
+	var due *target
+	for _, t := range s.estimating.active {
+		if t.Service != c.service || t.AvailabilityZone != s.config.AvailabilityZone || !t.pace.TrialDue(s.now) {
+			continue
+		}
+		if s.excluded(t, views) != notExcluded || t.listedUnder == "" || !s.admits(t) || t.health.unreachable() || t.health.suspect || t.underWayPerSlot() >= 1 {
+			continue
+		}
+		if due == nil || t.pace.Trial() < due.pace.Trial() {
+			due = t
+		}
+	}
+	if due != nil {
+		due.pace.SetTrial(s.hostsInZone(), s.random.Float64(), s.now)
+		s.counts.add(TrialFlow)
+		return due
+	}
+	for i := range views {
+		views[i].slowness = 0
+	}
+	return nil
+}
+
+// noteAnswer learns from the time until an answer.
+//
+// What goes wrong otherwise: a target fails a part of its requests at once while its
+// liveness check is good. Failures take less time than work, so it has the least load
+// of its service and gets most new flows. One notices by callers that fail again and
+// again at one target. What is in an answer can't be read here, but how quickly it
+// comes can.
+func (s *Steerer) noteAnswer(f *flow, took time.Duration) {
+	u, ok := s.usual[f.route.Name]
+	if !ok {
+		u = &usualTime{}
+		s.usual[f.route.Name] = u
+	}
+	pressed := s.pressed(f.target.Service)
+	quick := u.tooQuick(took)
+	if quick && !pressed {
+		f.target.failures.Observe(s.now)
+		s.counts.add(QuickAnswer)
+		s.log("answerTooQuick", field("target", f.target.ID), field("route", f.route.Name),
+			field("tookMillis", millis(took)), field("usualMillis", millis(u.median)))
+	}
+	if !quick {
+		s.learnSpeed(f, took)
+	}
+	u.add(took, pressed || s.answersSlowly(f.target))
+}
+
+// answersSlowly reports whether a target's answers say little of what is usual.
+//
+// What goes wrong otherwise: half of the targets turn slow, within seconds that counts as
+// usual, and nobody avoids them any more.
+func (s *Steerer) answersSlowly(t *target) bool {
+	return t.pace.Slow() || s.speedZone(t.Service, t.AvailabilityZone).Excess() > doubtfulZone
+}
+
+// failsWork reports whether a target answers more quickly than it can work. Answers of a
+// pressed service say nothing of that: full targets refuse at once, and work that goes
+// elsewhere for it fills the next.
+func (s *Steerer) failsWork(t *target) bool {
+	return t.failures.Enough(s.now) && !s.pressed(t.Service)
+}
+
+// takeQuick takes in whose quick answers another host of the zone saw.
+func (s *Steerer) takeQuick(from *peer, tags []uint32) {
+	for _, tag := range tags {
+		if t, ok := s.told(from, tag); ok {
+			t.failures.Told(from.name, s.now)
+		}
+	}
+}
+
+// quickTargets lists the targets whose quick answers this host saw of late.
+func (s *Steerer) quickTargets() []uint32 {
+	var tags []uint32
+	for _, t := range s.targets.ordered() {
+		if t.failures.Recent(s.now) && len(tags) < maxQuick {
+			tags = append(tags, uint32(t.tag))
+		}
+	}
+	return tags
+}
+
+// takePaces takes in how fast another host of the zone finds targets.
+func (s *Steerer) takePaces(from *peer, paces []messenger.TargetPace) {
+	for _, p := range paces[:min(len(paces), maxPaces)] {
+		if t, ok := s.told(from, p.Tag); ok {
+			t.pace.Told(from.name, estimator.Pace{SlownessEighths: p.SlownessEighths, Samples: p.Samples}, s.now)
+			s.refreshSpeed(t, from.name)
+		}
+	}
+}
+
+// paces lists how fast the targets are that stand out, others each time if they are many.
+func (s *Steerer) paces() []messenger.TargetPace {
+	var paces []messenger.TargetPace
+	active := s.estimating.active
+	at := 0
+	for at < len(active) && len(paces) < maxPaces {
+		t := active[(s.estimating.turn+at)%len(active)]
+		at++
+		if p, ok := t.pace.Tell(s.now); ok {
+			paces = append(paces, messenger.TargetPace{Tag: uint32(t.tag), SlownessEighths: p.SlownessEighths, Samples: p.Samples})
+		}
+	}
+	if len(active) > 0 {
+		s.estimating.turn = (s.estimating.turn + at) % len(active)
+	}
+	return paces
+}
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -48,6 +48,10 @@
 	paced    *pacedRequest
 	pacedFor time.Duration
 	underWay *service
+	// expected is how long the request under way should take, 0 if that is not known.
+	// assumed is the logarithm by which it took longer, as learned while it waited.
+	expected time.Duration
+	assumed  float64
 	// unconfirmed counts the bytes since the target last showed life.
 	unconfirmed uint32
 	lastPacket  timekeeper.Instant
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -1,6 +1,9 @@
 package steerer
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // KnowledgeStatus is what a host knows of settings and targets, and from whom, for
 // operators.
@@ -59,6 +62,8 @@
 	PeersBusy int `json:"peersBusy"`
 	// Paced counts the requests that wait at this host for the target.
 	Paced int `json:"paced"`
+	// Slowness is how much longer the target takes for a request than is usual; 1 is usual.
+	Slowness float64 `json:"slowness"`
 	// Avoided says why new flows go elsewhere; empty if nothing speaks against the
 	// target but its load.
 	Avoided string `json:"avoided,omitempty"`
@@ -70,7 +75,7 @@
 	for _, t := range s.targets.ordered() {
 		list = append(list, TargetStatus{
 			Target: t.ID, Service: t.Service, AvailabilityZone: t.AvailabilityZone, Address: t.Address.String(), Slots: t.Slots,
-			Flows: t.flows, Busy: t.busy + t.opening, PeersBusy: t.peersBusy, Paced: t.line.Len(), Avoided: s.avoided(t),
+			Flows: t.flows, Busy: t.busy + t.opening, PeersBusy: t.peersBusy, Paced: t.line.Len(), Slowness: s.slowness(t), Avoided: s.avoided(t),
 		})
 	}
 	return list
@@ -94,6 +99,8 @@
 		return "suspected, last sign of life " + ageText(s.now, t.health.lastProgress) + " ms ago"
 	case s.failsWork(t):
 		return "answers more quickly than it can work"
+	case t.pace.Slow():
+		return fmt.Sprintf("takes %.1f times as long as usual", s.slowness(t))
 	case !s.admits(t):
 		return "cold, and other hosts share out what it bears"
 	case !t.warmUpDeadline.Passed(s.now):
--- a/core/steerer/life.go
+++ b/core/steerer/life.go
@@ -1,6 +1,10 @@
 package steerer
 
-import "slices"
+import (
+	"slices"
+
+	"cranberryspan.dev/core/estimator"
+)
 
 // A target may end and start again under the ID that it had, at the same address. It
 // then holds none of its flows, and nothing that was learned of it holds any more.
@@ -33,7 +37,8 @@
 	}
 	t.health = health{}
 	t.toldSilentDeadline = 0
-	t.quick = quickness{}
+	t.failures = estimator.Failures{}
+	t.pace = estimator.Target{}
 	for _, p := range s.peers.ordered() {
 		delete(p.busy, uint32(t.tag))
 	}
--- a/core/steerer/load.go
+++ b/core/steerer/load.go
@@ -48,6 +48,7 @@
 
 // beginRequest counts a request that is passed on, first packet first.
 func (s *Steerer) beginRequest(key flowKey, f *flow, first []byte) {
+	s.expectAnswer(key, f)
 	s.setWaiting(f, true)
 	f.keepRequest(first)
 	span := unknownUnderWay
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -37,6 +37,7 @@
 	p.digest = r.TargetsDigest
 	s.takeBusy(p, r.Busy)
 	s.takeQuick(p, r.Quick)
+	s.takePaces(p, r.Paces)
 	s.takeSilent(p, r.Silent)
 	s.takeHints(r)
 	s.takeZoneHosts(r)
@@ -256,6 +257,7 @@
 	if to.zone == s.config.AvailabilityZone {
 		r.Busy = s.busy()
 		r.Quick = s.quickTargets()
+		r.Paces = s.paces()
 		r.Silent = s.silentTargets()
 	} else {
 		r.ZoneHosts = s.zoneHosts(to.zone)
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"cranberryspan.dev/core/diagnoser"
+	"cranberryspan.dev/core/estimator"
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/recorder"
 	"cranberryspan.dev/core/timekeeper"
@@ -116,6 +117,8 @@
 	paced    int
 	underWay flowChecks
 	leaving  leaving
+	// estimating is how fast targets are.
+	estimating estimating
 
 	effects   []Effect
 	toTargets []ToTarget
@@ -138,6 +141,8 @@
 		usual:    map[string]*usualTime{},
 		services: map[string]*service{},
 
+		estimating: estimating{zones: map[serviceZone]*estimator.Zone{}},
+
 		evacuator: evacuator.New(),
 		warmer:    warmer.New(config.Self, config.Start),
 		diagnoser: diagnoser.New(),
@@ -188,6 +193,7 @@
 func (s *Steerer) tick() {
 	s.notePause()
 	s.checkOpenings()
+	s.estimatingTick()
 	s.pacingTick()
 	s.expireFlows()
 	s.targetsTick()
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"cranberryspan.dev/core/estimator"
 	"cranberryspan.dev/core/pacer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cespare/xxhash/v2"
@@ -106,7 +107,12 @@
 	toldSilentDeadline timekeeper.Instant
 
 	health health
-	quick  quickness
+
+	// pace is how fast the target is, failures are its answers that came too quickly for
+	// work. estimated says that the target is among the estimating ones.
+	pace      estimator.Target
+	failures  estimator.Failures
+	estimated bool
 }
 
 // underWay is how many requests a target has, as far as the zone's hosts know.
--- a/core/steerer/usual.go
+++ b/core/steerer/usual.go
@@ -1,16 +1,23 @@
 package steerer
 
-import "time"
+import (
+	"time"
+
+	"cranberryspan.dev/core/estimator"
+)
 
 const (
+	// usualSamples is how many answers of a route are needed to know what is usual.
+	usualSamples = 20
 	// usualStep is how far each time moves what is taken for usual, as a part of it,
 	// once many have come; the first ones move it further. It comes to rest at the
 	// median. A crowd of a second or two, with a hundred late answers, must not make
 	// the ordinary ones after it look quick.
 	usualStep = 0.003
-	// pressedStep is that part while a service is asked for more than it can do. At 50
+	// doubtfulStep is that part while a service is asked for more than it can do, or if the
+	// target is slow. At 50
 	// answers a second an overload of 6 s moves the estimate by a tenth at the most.
-	pressedStep = usualStep / 10
+	doubtfulStep = usualStep / 10
 	// shortestUsual keeps the estimate from zero, from which no step leads away.
 	shortestUsual = 100 * time.Microsecond
 )
@@ -25,13 +32,19 @@
 // known reports whether enough times have come to know what is usual.
 func (u *usualTime) known() bool { return u.samples >= usualSamples }
 
-// add takes in a time. One that came while targets were full says less of what is
+// tooQuick reports whether no work can have been done in a time.
+func (u *usualTime) tooQuick(took time.Duration) bool {
+	return u.known() && estimator.TooQuick(took, u.median)
+}
+
+// add takes in a time. One that came while targets were full
+// or slow says less of what is
 // usual, but not nothing: work may have become slower for good.
-func (u *usualTime) add(took time.Duration, pressed bool) {
+func (u *usualTime) add(took time.Duration, doubtful bool) {
 	u.samples++
 	step := 1 + max(usualStep, 1/float64(u.samples))
-	if pressed {
-		step = 1 + pressedStep
+	if doubtful {
+		step = 1 + doubtfulStep
 	}
 	switch {
 	case u.samples == 1:
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -163,7 +163,7 @@
 without "resets of what waits for a silent target" steerer/health.go '!f.waiting && f.paced == nil' '!f.waiting' TestPacedRequestOfASilentTargetIsReset
 without "resets of what waits for a removed route" steerer/pacing.go 'if s.removed[r.key.service] {' 'if false {' TestPacedRequestOfARemovedRouteIsReset
 without "the end of counts nobody else ends" steerer/load.go 'f.waitingSince == check.since {' 'false {' TestUnseenResetsDoNotHoldUpOthers
-without "refusals that are no failures" steerer/quickness.go 'u.tooQuick(took) && !pressed' 'u.tooQuick(took)' TestRefusalsOfAPressedServiceAreNoFailures
+without "refusals that are no failures" steerer/estimating.go 'quick && !pressed' 'quick' TestRefusalsOfAPressedServiceAreNoFailures
 without "distrust of what waited during a pause" steerer/steering.go 'if s.stale(p) {' 'if false {' TestHostThatStoodStillPassesNothingOldOn
 without "distrust of load after a pause" steerer/load.go '|| !s.pause.trustDeadline.Passed(s.now) {' '{' TestPausedHostDoesNotTakeItsOwnDelayForLoad
 without "one question at a time" steerer/asking.go '|| s.asking.asked || !s.asking' '|| !s.asking' TestOneQuestionIsUnderWayAtATime
