--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -57,6 +57,7 @@
 	e.Scope.Gauge("targets").Update(float64(snapshot.Targets))
 	e.Scope.Gauge("targets_unreachable").Update(float64(snapshot.Unreachable))
 	e.Scope.Gauge("targets_cold").Update(float64(snapshot.Cold))
+	e.Scope.Gauge("targets_slow").Update(float64(snapshot.Slow))
 	e.Scope.Gauge("zones_evacuated").Update(float64(snapshot.Evacuated))
 	e.Scope.Gauge("peers").Update(float64(snapshot.Peers))
 	e.Scope.Gauge("peers_live").Update(float64(snapshot.Live))
--- a/core/estimator/estimator.go
+++ b/core/estimator/estimator.go
@@ -36,7 +36,7 @@
 	memory = time.Second
 	// priorSamples at the usual hold a target's mean back, and fewer of them once it has
 	// been found slow: then the trials that are left have to keep what was learned.
-	priorSamples     = 2.0
+	priorSamples     = 4.0
 	slowPriorSamples = 1.0
 	// slowAbove is the logarithm from which a target is slow: 1.7 times the usual. Times of
 	// work that spread by half, over four samples or more, reach it by chance once in some
@@ -46,7 +46,7 @@
 	quickBelow = 0.4
 	// mostExcess and leastExcess bound one sample: a single answer that takes a hundred
 	// times as long is about itself.
-	mostExcess  = 4.0
+	mostExcess  = 3.0
 	leastExcess = -1.0
 	// mostFactor bounds what is believed of a target and its zone together.
 	mostFactor = 16.0
--- a/core/estimator/trials.go
+++ b/core/estimator/trials.go
@@ -38,7 +38,7 @@
 // between 0 and 1, and keeps hosts that learned of it together from trying together.
 func (t *Target) SetTrial(hosts int, chance float64, now timekeeper.Instant) {
 	pause := time.Duration(max(hosts, 1)) * time.Second / trialsPerSecond
-	t.trial = now.Add(time.Duration((0.5 + chance) * float64(pause)))
+	t.trial = now.Add(time.Duration(2 * chance * float64(pause)))
 }
 
 // Trial is when this host may try the target next.
--- a/core/estimator/zone.go
+++ b/core/estimator/zone.go
@@ -9,7 +9,8 @@
 
 const (
 	// zoneSamples is how many of a host's last answers tell how fast a zone is. A host that
-	// gets 40 a second sees most of a change within a third of one.
+	// gets 45 a second sees a change within half of one; with fewer samples a zone of which
+	// half is slow would often look slow as a whole.
 	zoneSamples = 24
 	// zoneMemory ends belief in a zone from which nothing comes.
 	zoneMemory = 2 * time.Second
--- a/core/steerer/load.go
+++ b/core/steerer/load.go
@@ -79,10 +79,13 @@
 
 // learnLoad learns from an answer how pressed its service is. An answer that came
 // too quickly for work says nothing of the time that work takes, and neither do answers
-// that were late because this host stood still.
+// that were late because this host stood still, or because their target is slow.
+//
+// What goes wrong if slow targets count: half of the targets of a service turn slow, the
+// service is pressed, and new flows are refused that the idle other half would serve.
 func (s *Steerer) learnLoad(f *flow, took time.Duration) {
 	u, ok := s.usual[f.route.Name]
-	if !ok || !u.known() || u.tooQuick(took) || !s.pause.trustDeadline.Passed(s.now) {
+	if !ok || !u.known() || u.tooQuick(took) || !s.pause.trustDeadline.Passed(s.now) || s.answersSlowly(f.target) {
 		return
 	}
 	v := s.service(f.target.Service)
