--- a/core/estimator/zone.go
+++ b/core/estimator/zone.go
@@ -26,8 +26,9 @@
 type Zone struct {
 	samples [zoneSamples]zoneSample
 	next    int
-	// excess is kept by Refresh.
+	// excess and known are kept by Refresh.
 	excess float64
+	known  bool
 }
 
 type zoneSample struct {
@@ -65,7 +66,8 @@
 		}
 	}
 	z.excess = 0
-	if count < leastZoneSamples {
+	z.known = count >= leastZoneSamples
+	if !z.known {
 		return
 	}
 	slices.Sort(recent[:count])
@@ -75,3 +77,6 @@
 // Excess is the logarithm of the zone's time for a request as a multiple of the usual: 0
 // unless even its quick answers take longer than usual.
 func (z *Zone) Excess() float64 { return z.excess }
+
+// Known reports whether enough answers came of late.
+func (z *Zone) Known() bool { return z.known }
--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -16,9 +16,13 @@
 	// those whose speed it tells.
 	maxQuick = 32
 	maxPaces = 32
-	// doubtfulZone is the logarithm of a zone's time, as a multiple of the usual, from
-	// which its answers hardly change what is usual.
-	doubtfulZone = 0.5
+	// slowZone is the logarithm by which a zone's answers take longer than another's before
+	// the zone counts as slow: 1.4 times.
+	slowZone = 0.5
+	// verySlowZone is the logarithm from which it is slow whatever others are: 2.8 times. In
+	// a crowd a host does not know of all that is under way, and answers take up to twice
+	// as long as what it does know explains.
+	verySlowZone = 1.5
 )
 
 // serviceZone is a service's part in an availability zone.
@@ -221,7 +225,23 @@
 // What goes wrong otherwise: half of the targets turn slow, within seconds that counts as
 // usual, and nobody avoids them any more.
 func (s *Steerer) answersSlowly(t *target) bool {
-	return t.pace.Slow() || s.speedZone(t.Service, t.AvailabilityZone).Excess() > doubtfulZone
+	return t.pace.Slow() || s.inSlowZone(t)
+}
+
+// inSlowZone reports whether a target's zone is slower than another. Where all are late
+// the service is asked for too much, or its work became heavier.
+func (s *Steerer) inSlowZone(t *target) bool {
+	excess := s.speedZone(t.Service, t.AvailabilityZone).Excess()
+	if excess <= slowZone || excess > verySlowZone {
+		return excess > verySlowZone
+	}
+	for _, name := range s.targets.zones {
+		other := s.speedZone(t.Service, name)
+		if other.Known() && other.Excess()+slowZone < excess {
+			return true
+		}
+	}
+	return false
 }
 
 // failsWork reports whether a target answers more quickly than it can work. Answers of a
--- /dev/null
+++ b/core/steerer/estimating_test.go
@@ -0,0 +1,210 @@
+package steerer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+// learnUsual lets hosts learn that answers take 50 ms, wherever they come from.
+func learnUsual(f *fleet, names ...string) {
+	for n := range 30 {
+		for h, name := range names {
+			answerAfter(f, name, 30_000+100*h+n, 50*time.Millisecond)
+		}
+	}
+}
+
+// flowsAt opens flows at a target.
+func flowsAt(f *fleet, name, target string, from, count int) []*caller {
+	var all []*caller
+	for n := range count {
+		all = append(all, openOn(f, name, target, from+100*n, false))
+	}
+	return all
+}
+
+// askAll lets a request of each flow take a while.
+func askAll(f *fleet, name string, flows []*caller, took time.Duration) {
+	for _, c := range flows {
+		c.ask(name)
+	}
+	f.step(took)
+	for _, c := range flows {
+		c.thank(name)
+	}
+}
+
+// slowTarget lets a host find out that a target takes ten times as long, while others
+// work as usual.
+func slowTarget(f *fleet, name, target string) {
+	flows := flowsAt(f, name, target, 2000, 3)
+	for round := range 3 {
+		askAll(f, name, flows, 500*time.Millisecond)
+		for n := range 6 {
+			answerAfter(f, name, 50_000+10*round+n, 50*time.Millisecond)
+		}
+	}
+}
+
+// Symptom: callers wait at a target that takes ten times as long, while its siblings idle.
+// Sequence: its answers are late, but it has slots free. Cause: load that counts requests
+// under way and not how long each takes.
+func TestSlowTargetGetsFewFlows(t *testing.T) {
+	f := newFleet(t, 1)
+	learnUsual(f, "a1")
+	require.NotZero(t, share(f, "a1", failing, 1000))
+	slowTarget(f, "a1", failing)
+	require.LessOrEqual(t, share(f, "a1", failing, 6000), 2, "trials")
+	status := statusOf(f, "a1", failing)
+	require.Greater(t, status.Slowness, 2.0)
+	require.Contains(t, status.Avoided, "times as long as usual")
+	require.NotZero(t, logged(f, "a1", "targetSlow"))
+	require.Equal(t, 1, f.hosts["a1"].steerer.Snapshot().Slow)
+}
+
+// Symptom: in a large zone each host has to find out for itself that a target is slow.
+// Sequence: one host sees late answers of it. Cause: hosts that keep it to themselves.
+func TestSlowTargetsAreToldToTheZonesHosts(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	learnUsual(f, "a1", "a2")
+	slowTarget(f, "a1", failing)
+	f.step(300 * time.Millisecond)
+	require.Greater(t, statusOf(f, "a2", failing).Slowness, 1.5)
+	require.InDelta(t, 1, statusOf(f, "b1", failing).Slowness, 0, "other zones look for themselves")
+}
+
+// Symptom: callers wait at a target that hangs. Sequence: it takes requests and answers
+// none. Cause: only answers tell how long requests take.
+func TestHangingTargetIsSlowBeforeItAnswers(t *testing.T) {
+	f := newFleet(t, 1)
+	learnUsual(f, "a1")
+	for _, c := range flowsAt(f, "a1", failing, 2000, 4) {
+		c.ask("a1")
+	}
+	f.step(900 * time.Millisecond)
+	require.Greater(t, statusOf(f, "a1", failing).Slowness, 1.5)
+}
+
+// Symptom: a host that stood still makes its zone avoid targets that work. Sequence:
+// requests are under way when the host freezes; their answers came long before it looks.
+// Cause: the host's own delay is taken for the target's.
+func TestFrozenHostBlamesNoTarget(t *testing.T) {
+	f := newFleet(t, 1)
+	learnUsual(f, "a1")
+	all := flowsAt(f, "a1", failing, 2000, 6)
+	for _, c := range all {
+		c.ask("a1")
+	}
+	f.hosts["a1"].running = false
+	f.step(time.Second)
+	f.hosts["a1"].running = true
+	f.step(50 * time.Millisecond)
+	for _, c := range all {
+		c.thank("a1")
+	}
+	f.step(100 * time.Millisecond)
+	require.InDelta(t, 1, statusOf(f, "a1", failing).Slowness, 0)
+}
+
+// Symptom: callers stay in a zone whose targets all take ten times as long. Sequence: all
+// targets of a zone turn slow, those of another work. Cause: another zone that costs more
+// than any wait.
+func TestSlowZoneSpillsOver(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	learnUsual(f, "a1", "b1")
+	home := func(id string) bool { return f.targets[id].AvailabilityZone == "a" }
+	c := f.caller(1, checkRoute)
+	c.open("a1", 0)
+	require.True(t, home(c.target))
+	var all []*caller
+	for i := range 3 {
+		all = append(all, flowsAt(f, "a1", fmt.Sprintf("i-1%07x", 2*i+1), 2000+1000*i, 3)...)
+	}
+	for range 4 {
+		askAll(f, "a1", all, 500*time.Millisecond)
+	}
+	away := 0
+	for n := range 40 {
+		c := f.caller(20_000+n, checkRoute)
+		c.open("a1", 0)
+		if !home(c.target) {
+			away++
+		}
+		c.establish("a1")
+		c.finish("a1")
+	}
+	require.Greater(t, away, 30)
+}
+
+// Symptom: flows that the quick targets would serve are refused for overload. Sequence:
+// some targets turn slow and their answers are late. Cause: late answers of slow targets
+// that count as pressure on the service.
+func TestSlowTargetsDoNotPressTheirService(t *testing.T) {
+	f := newFleet(t, 1)
+	f.settings = settingsOf(2, objectiveRoutes())
+	f.step(2 * time.Second)
+	learnUsual(f, "a1")
+	flows := flowsAt(f, "a1", failing, 2000, 3)
+	for round := range 8 {
+		askAll(f, "a1", flows, 500*time.Millisecond)
+		for n := range 4 {
+			answerAfter(f, "a1", 22_000+10*round+n, 50*time.Millisecond)
+		}
+	}
+	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Pressed)
+}
+
+// Symptom: a slow half of the targets counts as usual after some seconds, and is avoided
+// no more. Sequence: more than half of the answers take six times as long. Cause: what is usual
+// follows all answers alike.
+func TestUsualDoesNotFollowSlowTargets(t *testing.T) {
+	f := newFleet(t, 1)
+	for n := range 300 {
+		answerAfter(f, "a1", 30_000+n, 50*time.Millisecond)
+	}
+	flows := flowsAt(f, "a1", failing, 2000, 5)
+	for round := range 60 {
+		askAll(f, "a1", flows, 300*time.Millisecond)
+		for n := range 3 {
+			answerAfter(f, "a1", 45_000+5*round+n, 50*time.Millisecond)
+		}
+	}
+	for n := range 10 {
+		answerAfter(f, "a1", 40_000+n, 15*time.Millisecond)
+	}
+	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Counts[steerer.QuickAnswer], "15 ms are more than a quarter of 50")
+}
+
+// Symptom: a target that has recovered idles. Sequence: it was slow, then its flows ended;
+// it answers as usual again. Cause: nobody is sent there any more.
+func TestRecoveredTargetHasItsShareBack(t *testing.T) {
+	f := newFleet(t, 1)
+	learnUsual(f, "a1")
+	slowTarget(f, "a1", failing)
+	require.Greater(t, statusOf(f, "a1", failing).Slowness, 2.0)
+	for n := range 100 {
+		answerAfter(f, "a1", 10_000+n, 50*time.Millisecond)
+	}
+	require.InDelta(t, 1, statusOf(f, "a1", failing).Slowness, 0)
+	require.NotZero(t, logged(f, "a1", "targetQuickAgain"))
+	require.NotZero(t, share(f, "a1", failing, 20_000))
+}
+
+// Symptom: the believed speed of a target outlives its process. Sequence: a slow target
+// starts again under its ID. Cause: what was learned of an earlier life.
+func TestRestartedTargetIsNotSlow(t *testing.T) {
+	f := newFleet(t, 1)
+	learnUsual(f, "a1")
+	slowTarget(f, "a1", failing)
+	require.Greater(t, statusOf(f, "a1", failing).Slowness, 2.0)
+	slow := logged(f, "a1", "targetQuickAgain")
+	f.restart(failing)
+	f.step(time.Second)
+	require.Equal(t, 1, logged(f, "a1", "targetReborn"))
+	require.Equal(t, slow, logged(f, "a1", "targetQuickAgain"), "nothing was learned since")
+	require.InDelta(t, 1, statusOf(f, "a1", failing).Slowness, 0)
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -226,5 +226,28 @@
 without "the turn of those that will be late" pacer/line.go 'if r.turnDeadline.Passed(now) {' 'if false {' TestWaitIsBounded
 without "the end of pacing" pacer/pacer.go '(before && l.pressure > calmBelow)' 'before' TestUsualLoadDoesNotWait
 
+package=estimator
+without "the wait for what is under way" estimator/estimator.go 'max(float64(underWay+1-slots), 0)/float64(slots)' '0*float64(underWay+1-slots)/float64(slots)' TestQueueIsNoSlowness
+without "samples that hold back" estimator/estimator.go 'priorSamples     = 4.0' 'priorSamples     = 0.0' TestChanceDoesNotMakeTargetsSlow
+without "what was told before" estimator/target.go 't.all.remove(before, now)' '_ = before' TestWhatIsToldAgainCountsOnce
+without "word of the zone's hosts" estimator/target.go 't.all.add(mean, weight, now)' '' TestHostsLearnTogether
+without "the zone's part in a sample" estimator/zone.go 'return excess - z.excess' 'return excess' TestLatenessOfAllBlamesNobody
+without "the quick quarter" estimator/zone.go 'quickPart = 0.25' 'quickPart = 0.6' TestSlowHalfIsNoSlowZone
+without "an end of belief in a zone" estimator/zone.go '&& now.Since(one.at) < zoneMemory' '&& now.Since(one.at) < 100*zoneMemory' TestSlowZoneShowsWithinHalfASecond
+without "corrections of what waits" estimator/target.go 't.all.excess += to - from' '' TestWaitingRequestsCountBeforeTheyAreAnswered
+without "trials" estimator/trials.go 't.slow && t.all.weight < enoughSamples' 'false && t.all.weight < enoughSamples' TestTrialsFindOutWhatIsQuickAgain
+without "trials that all hosts share" estimator/trials.go 'time.Duration(max(hosts, 1)) * time.Second' 'time.Duration(max(hosts/hosts, 1)) * time.Second' TestTrialsOfAllHostsTogetherAreFew
+without "memory that ends" estimator/estimator.go 'memory = time.Second' 'memory = 20 * time.Second' 'TestTrialsFindOutWhatIsQuickAgain|TestSlowHalfGetsWhatItCanDo'
+
+package=steerer
+without "speed in placement" steerer/choosing.go 'slowness > 0 {' 'slowness > 1000 {' 'TestSlowTargetGetsFewFlows|TestSlowZoneSpillsOver'
+without "the speed of zones" steerer/choosing.go 's.speedZone(c.service, zone).Excess(),' '0,' TestSlowZoneSpillsOver
+without "word of slow targets" steerer/reports.go 's.takePaces(p, r.Paces)' '' TestSlowTargetsAreToldToTheZonesHosts
+without "requests that wait too long" steerer/estimating.go 's.learnSpeed(f, waited)' '_ = waited' TestHangingTargetIsSlowBeforeItAnswers
+without "distrust of answers after a pause" steerer/estimating.go '!s.pause.trustDeadline.Passed(s.now) || s.cold(t)' 's.cold(t)' TestFrozenHostBlamesNoTarget
+without "pressure that leaves out slow targets" steerer/load.go '|| s.answersSlowly(f.target) {' '{' TestSlowTargetsDoNotPressTheirService
+without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target))' 'pressed)' TestUsualDoesNotFollowSlowTargets
+without "speed that ends with a life" steerer/life.go 't.pace = estimator.Target{}' '' TestRestartedTargetIsNotSlow
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
