--- a/core/steerer/life.go
+++ b/core/steerer/life.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"cranberryspan.dev/core/estimator"
 	"cranberryspan.dev/core/sequencer"
 )
 
@@ -37,7 +38,8 @@
 	}
 	t.health = health{}
 	t.toldSilentDeadline = 0
-	t.quick = quickness{}
+	t.failures = estimator.Failures{}
+	t.pace = estimator.Target{}
 	for _, p := range s.peers.ordered() {
 		delete(p.busy, uint32(t.tag))
 	}
--- a/core/steerer/load.go
+++ b/core/steerer/load.go
@@ -48,6 +48,7 @@
 
 // beginRequest counts a request that is passed on, first packet first.
 func (s *Steerer) beginRequest(key flowKey, f *flow, first []byte) {
+	s.expectAnswer(key, f)
 	s.setWaiting(f, true)
 	f.keepRequest(first)
 	span := unknownUnderWay
@@ -78,10 +79,13 @@
 
 // learnLoad learns from an answer how pressed its service is. An answer that came
 // too quickly for work says nothing of the time that work takes, and neither do answers
-// that were late because this host stood still.
+// that were late because this host stood still, or because their target is slow.
+//
+// What goes wrong if slow targets count: half of the targets of a service turn slow, the
+// service is pressed, and new flows are refused that the idle other half would serve.
 func (s *Steerer) learnLoad(f *flow, took time.Duration) {
 	u, ok := s.usual[f.route.Name]
-	if !ok || !u.known() || u.tooQuick(took) || !s.pause.trustDeadline.Passed(s.now) {
+	if !ok || !u.known() || u.tooQuick(took) || !s.pause.trustDeadline.Passed(s.now) || s.answersSlowly(f.target) {
 		return
 	}
 	v := s.service(f.target.Service)
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -163,7 +163,7 @@
 without "resets of what waits for a silent target" steerer/health.go '!f.waiting && f.paced == nil' '!f.waiting' TestPacedRequestOfASilentTargetIsReset
 without "resets of what waits for a removed route" steerer/pacing.go 'if s.removed[r.key.service] {' 'if false {' TestPacedRequestOfARemovedRouteIsReset
 without "the end of counts nobody else ends" steerer/load.go 'f.waitingSince == check.since {' 'false {' TestUnseenResetsDoNotHoldUpOthers
-without "refusals that are no failures" steerer/quickness.go 'u.tooQuick(took) && !pressed' 'u.tooQuick(took)' TestRefusalsOfAPressedServiceAreNoFailures
+without "refusals that are no failures" steerer/estimating.go 'quick && !pressed' 'quick' TestRefusalsOfAPressedServiceAreNoFailures
 without "distrust of what waited during a pause" steerer/steering.go 'if s.stale(p) {' 'if false {' TestHostThatStoodStillPassesNothingOldOn
 without "distrust of load after a pause" steerer/load.go '|| !s.pause.trustDeadline.Passed(s.now) {' '{' TestPausedHostDoesNotTakeItsOwnDelayForLoad
 without "one question at a time" steerer/asking.go '|| s.asking.asked || !s.asking' '|| !s.asking' TestOneQuestionIsUnderWayAtATime
@@ -245,6 +245,28 @@
 without "the end of orders not given again" steerer/steerer.go 's.expireOrders()' '' TestOrderThatIsNotGivenAgainEnds
 without "reads of all that a restore has undone" steerer/restoring.go 's.reading.targets.urgent = true' '_ = s' TestRestoreFoundByOneReadHasTheOtherFollow
 without "versions that never go back" steerer/reading.go 'if s.settings != nil && settings.Version <= s.settings.Version {' 'if false {' TestPublishedVersionNeverGoesBack
+package=estimator
+without "the wait for what is under way" estimator/estimator.go 'max(float64(underWay+1-slots), 0)/float64(slots)' '0*float64(underWay+1-slots)/float64(slots)' TestQueueIsNoSlowness
+without "samples that hold back" estimator/estimator.go 'priorSamples     = 4.0' 'priorSamples     = 0.0' TestChanceDoesNotMakeTargetsSlow
+without "what was told before" estimator/target.go 't.all.remove(before, now)' '_ = before' TestWhatIsToldAgainCountsOnce
+without "word of the zone's hosts" estimator/target.go 't.all.add(mean, weight, now)' '' TestHostsLearnTogether
+without "the zone's part in a sample" estimator/zone.go 'return excess - z.excess' 'return excess' TestLatenessOfAllBlamesNobody
+without "the quick quarter" estimator/zone.go 'quickPart = 0.25' 'quickPart = 0.6' TestSlowHalfIsNoSlowZone
+without "an end of belief in a zone" estimator/zone.go '&& now.Since(one.at) < zoneMemory' '&& now.Since(one.at) < 100*zoneMemory' TestSlowZoneShowsWithinHalfASecond
+without "corrections of what waits" estimator/target.go 't.all.excess += to - from' '' TestWaitingRequestsCountBeforeTheyAreAnswered
+without "trials" estimator/trials.go 't.slow && t.all.weight < enoughSamples' 'false && t.all.weight < enoughSamples' TestTrialsFindOutWhatIsQuickAgain
+without "trials that all hosts share" estimator/trials.go 'time.Duration(max(hosts, 1)) * time.Second' 'time.Duration(max(hosts/hosts, 1)) * time.Second' TestTrialsOfAllHostsTogetherAreFew
+without "memory that ends" estimator/estimator.go 'memory = time.Second' 'memory = 20 * time.Second' 'TestTrialsFindOutWhatIsQuickAgain|TestSlowHalfGetsWhatItCanDo'
+
+package=steerer
+without "speed in placement" steerer/choosing.go 'slowness > 0 {' 'slowness > 1000 {' 'TestSlowTargetGetsFewFlows|TestSlowZoneSpillsOver'
+without "the speed of zones" steerer/choosing.go 's.speedZone(c.service, zone).Excess(),' '0,' TestSlowZoneSpillsOver
+without "word of slow targets" steerer/reports.go 's.takePaces(p, r.Paces)' '' TestSlowTargetsAreToldToTheZonesHosts
+without "requests that wait too long" steerer/estimating.go 's.learnSpeed(f, waited)' '_ = waited' TestHangingTargetIsSlowBeforeItAnswers
+without "distrust of answers after a pause" steerer/estimating.go '!s.pause.trustDeadline.Passed(s.now) || s.cold(t)' 's.cold(t)' TestFrozenHostBlamesNoTarget
+without "pressure that leaves out slow targets" steerer/load.go '|| s.answersSlowly(f.target) {' '{' TestSlowTargetsDoNotPressTheirService
+without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target))' 'pressed)' TestUsualDoesNotFollowSlowTargets
+without "speed that ends with a life" steerer/life.go 't.pace = estimator.Target{}' '' TestRestartedTargetIsNotSlow
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
