Admission knows the room: hosts share what callers ask and work out which shares fit in

Cause: a host refused whatever would wait behind others at itself, knew neither the room nor what is asked elsewhere, and never refused by priority. Change: core/admitter; reports carry demand of services that are half full; a host hears no refusals while the fleet has room unless its own line is as long as its window. Hook short(service) for others.

--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -65,6 +65,9 @@
 	e.Scope.Gauge("targets_age_seconds").Update(snapshot.TargetsAge.Seconds())
 	e.Scope.Gauge("requests_paced").Update(float64(snapshot.Paced))
 	e.Scope.Gauge("services_pressed").Update(float64(snapshot.Pressed))
+	e.Scope.Gauge("services_short").Update(float64(snapshot.Short))
+	e.Scope.Gauge("fullest_service_room_slots").Update(snapshot.Room)
+	e.Scope.Gauge("fullest_service_demand_slots").Update(snapshot.Demand)
 	e.Scope.Gauge("ready").Update(exporter.OneIf(snapshot.Ready))
 }
 
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -1,11 +1,360 @@
 package steerer
 
-// wouldWait reports whether the request of a new flow would wait behind others that
-// wait at this host already.
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cranberryspan.dev/core/admitter"
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/timekeeper"
+)
+
+const (
+	// assessEvery is how old the view of a service's room may be. Reports change it about
+	// as often.
+	assessEvery = 50 * time.Millisecond
+	// workSamples is how many answers of a route are needed to know how long work takes.
+	// The mean over hosts evens out what each is off.
+	workSamples = 8
+	// workStep is the part of each answer in the mean time of work once many have come,
+	// busyWorkStep while targets are busy. mostWork times the mean bounds what one counts.
+	workStep     = 0.005
+	busyWorkStep = workStep / 10
+	mostWork     = 4
+	// maxDemands bounds the services of a report.
+	maxDemands = 8
+	// zoneHostMemory is how long a report of any host of another zone shows that the
+	// zone's targets can be reached.
+	zoneHostMemory = 4 * time.Second
+)
+
+// room is what a host knows of the room of a service.
+type room struct {
+	admitter *admitter.Admitter
+	// assessDeadline is when the view is next to be made anew.
+	assessDeadline timekeeper.Instant
+	// opening is the usual time until a flow opens: what answers take besides work.
+	opening usualTime
+	// work holds the mean time of work, by route.
+	work map[string]*workTime
+}
+
+// short reports whether a service is asked for more than it has room for.
+func (s *Steerer) short(service string) bool {
+	v, ok := s.services[service]
+	return ok && v.room.admitter.Short()
+}
+
+// admitsFlow decides whether the request of a new flow gets in.
 //
-// What goes wrong if the flow is taken: its caller waits for an answer that can't be in
-// time, and takes the place of one that can. Nothing has run, so it is told at once.
-// Open flows can't be refused; with fewer of them less has to wait.
-func (s *Steerer) wouldWait(route Route, to *target) bool {
-	return route.Kind.repeatable() && s.pressed(to.Service) && s.service(to.Service).paced > 0
+// What goes wrong if all get in: their callers wait for answers that can't be in time, and
+// take the places of those that can. Nothing has run, so who doesn't get in is told at
+// once. A host that hears no other goes by what waits at itself.
+func (s *Steerer) admitsFlow(route Route, service string) bool {
+	v := s.service(service)
+	s.assess(v)
+	a := v.room.admitter
+	a.AskedNew(route.Priority, s.work(route, v), s.now)
+	fits := a.Known() && a.Share(route.Priority) >= 1
+	switch {
+	case !route.Kind.repeatable():
+		return !a.Known() || a.Admit(route.Priority)
+	case fits:
+		return !s.wouldBeLate(v)
+	default:
+		return !s.wouldWait(v)
+	}
+}
+
+// wouldWait reports whether the request of a new flow would wait behind others that wait
+// at this host already. Open flows can't be refused; with fewer of them less has to wait.
+func (s *Steerer) wouldWait(v *service) bool { return v.load.Pressed() && v.paced > 0 }
+
+// wouldBeLate reports whether so many requests wait at this host that another would wait
+// for more than one answer. While the fleet has room, a few that wait are the unevenness
+// of the moment, and no ground to refuse anybody.
+func (s *Steerer) wouldBeLate(v *service) bool {
+	return v.load.Pressed() && float64(v.paced) >= v.load.Window()
+}
+
+// refuseForRoom refuses a new flow for which there is no room, and says what is believed
+// of it.
+func (s *Steerer) refuseForRoom(p *Packet, route Route, service string) {
+	a := s.service(service).room.admitter
+	s.counts.add(RefusedNoRoom)
+	s.refuse(p, "noRoom", field("route", route.Name), field("service", service), field("priority", itoa(route.Priority)),
+		field("zone", s.config.AvailabilityZone), field("room", slotsText(a.Room())), field("demand", slotsText(a.Demand().Total())),
+		field("share", fmt.Sprintf("%.2f", a.Share(route.Priority))), field("known", fmt.Sprint(a.Known())))
+}
+
+func slotsText(slots float64) string { return fmt.Sprintf("%.1f", slots) }
+
+// noteAsked takes in that a request begins in an open flow. The first request of a flow
+// was counted when the flow opened.
+func (s *Steerer) noteAsked(f *flow) {
+	if f.askedFor {
+		f.askedFor = false
+		return
+	}
+	v := s.service(f.target.Service)
+	priority := f.route.Priority
+	if !f.route.Kind.repeatable() {
+		priority = 0 // It can't be held here either.
+	}
+	v.room.admitter.AskedOpen(priority, s.work(f.route, v), s.now)
+}
+
+// noteOpeningTime takes in how long a flow took to open.
+func (s *Steerer) noteOpeningTime(f *flow) {
+	if !f.copied {
+		s.service(f.target.Service).room.opening.add(s.now.Since(f.openedAt), false)
+	}
+}
+
+// work is for how long a request of a route keeps a slot busy on average; 0 if unknown.
+// What an answer takes on its way is what a flow takes to open.
+func (s *Steerer) work(route Route, v *service) time.Duration {
+	w, ok := v.room.work[route.Name]
+	if !ok || !w.known() || route.LatencyObjective <= w.mean {
+		return 0
+	}
+	return w.mean
+}
+
+// learnRoom learns from an answer how long requests wait at a service.
+func (s *Steerer) learnRoom(f *flow, took time.Duration) {
+	u, ok := s.usual[f.route.Name]
+	if !ok || !s.pause.trustDeadline.Passed(s.now) {
+		return
+	}
+	v := s.service(f.target.Service)
+	a := v.room.admitter
+	if !u.tooQuick(took) {
+		v.room.learnWork(f.route.Name, took)
+	}
+	spare := f.route.LatencyObjective - u.median
+	switch {
+	case !u.known():
+	case spare <= 0:
+	case u.tooQuick(took):
+		if a.Short() {
+			a.Answered(1) // A full target has turned the request away.
+		}
+	default:
+		a.Answered(float64(took-u.median) / float64(spare))
+	}
+}
+
+// learnWork learns from an answer how long work takes. While many slots are taken, answers
+// tell more of waiting than of work.
+func (r *room) learnWork(route string, took time.Duration) {
+	w, ok := r.work[route]
+	if !ok {
+		w = &workTime{}
+		r.work[route] = w
+	}
+	w.add(max(took-r.opening.median, shortestUsual), r.admitter.Tells() || r.admitter.Waits())
+}
+
+// workTime is the mean time that targets work on requests of a route.
+type workTime struct {
+	mean    time.Duration
+	samples int
+}
+
+// known reports whether enough answers have come.
+func (w *workTime) known() bool { return w.samples >= workSamples }
+
+// add takes in the time of an answer. One that came while targets were busy includes
+// waiting: it counts little, but not nothing, since work may have become longer for good.
+func (w *workTime) add(took time.Duration, busy bool) {
+	w.samples++
+	step := max(workStep, 1/float64(w.samples))
+	if busy && w.known() {
+		step = busyWorkStep
+	}
+	if w.samples > 1 {
+		took = min(took, mostWork*w.mean)
+	}
+	w.mean += time.Duration(step * float64(took-w.mean))
+}
+
+// assess brings the view of a service's room up to date.
+func (s *Steerer) assess(v *service) {
+	if !v.room.assessDeadline.Passed(s.now) {
+		return
+	}
+	v.room.assessDeadline = s.now.Add(assessEvery)
+	a := v.room.admitter
+	living, heard := s.ownZoneHosts()
+	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + living, InTouch: heard}
+	if !a.Assess(s.now, view) {
+		return
+	}
+	event := "serviceCalm"
+	if a.Short() {
+		event = "serviceShort"
+	}
+	s.log(event, field("service", v.name), field("room", slotsText(a.Room())), field("slots", slotsText(view.Room)),
+		field("demand", slotsText(a.Demand().Total())), field("wait", fmt.Sprintf("%.2f", a.Wait())), field("zoneHosts", itoa(view.ZoneHosts)))
+}
+
+// assessTick brings the views of all services up to date that somebody asks for.
+func (s *Steerer) assessTick() {
+	for _, name := range s.askedServices() {
+		s.assess(s.services[name])
+	}
+}
+
+// askedServices lists the services of which anything is known, so that equal events give
+// equal effects.
+func (s *Steerer) askedServices() []string {
+	names := make([]string, 0, len(s.services))
+	for name := range s.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// roomOf adds up the slots of a service's targets that live, as far as this host knows, in
+// slots of usual speed.
+func (s *Steerer) roomOf(service string) float64 {
+	sum := 0.0
+	views := s.views(&choice{service: service})
+	var unheard uint64
+	for i, zone := range s.targets.zones {
+		if s.zoneUnheard(zone) {
+			unheard |= 1 << min(i, 63)
+		}
+	}
+	for _, t := range s.targets.byService[service] {
+		zone := &views[t.zone]
+		lost := t.health.unreachable() || t.health.suspect || t.toldSilent(s.now)
+		if t.Draining || s.gone(t) || lost || zone.evacuated || zone.doubted || unheard&(1<<min(t.zone, 63)) != 0 {
+			continue
+		}
+		speed := 1 / s.slowness(t)
+		if s.cold(t) {
+			speed /= warmingLoad
+		}
+		sum += float64(max(t.Slots, 1)) * speed
+	}
+	return sum
+}
+
+// ownZoneHosts counts the other hosts of the own zone that live as far as anybody says,
+// and reports whether any of them has reported of late.
+func (s *Steerer) ownZoneHosts() (living int, heard bool) {
+	silence := s.mentionSilence()
+	for _, p := range s.peers.ordered() {
+		if p.zone != s.config.AvailabilityZone || !p.mentioned(s.now, silence) {
+			continue
+		}
+		living++
+		heard = heard || p.hears(s.now)
+	}
+	return living, heard
+}
+
+// zoneUnheard reports whether another zone has hosts and none has been heard of late: what
+// is asked there is not known, and its targets may be out of reach.
+func (s *Steerer) zoneUnheard(zone string) bool {
+	if zone == s.config.AvailabilityZone {
+		return false
+	}
+	known := false
+	for _, p := range s.peers.ordered() {
+		if p.zone != zone || p.heard == 0 {
+			continue
+		}
+		if s.now.Since(p.heard) < zoneHostMemory {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
+// addRoom adds to a snapshot how full services are.
+func (s *Steerer) addRoom(snapshot *Snapshot) {
+	fullest := 0.0
+	for _, v := range s.services {
+		a := v.room.admitter
+		if a.Short() {
+			snapshot.Short++
+		}
+		demand, room := a.Demand().Total(), a.Room()
+		if demand > fullest*room {
+			fullest = demand / max(room, 1)
+			snapshot.Demand, snapshot.Room = demand, room
+		}
+	}
+}
+
+// addDemands writes into a report what callers ask of the services that may run short.
+func (s *Steerer) addDemands(r *messenger.Report, to *peer) {
+	for _, name := range s.askedServices() {
+		a := s.services[name].room.admitter
+		if !a.Tells() {
+			continue
+		}
+		if to.zone == s.config.AvailabilityZone && len(r.Demands) < maxDemands {
+			r.Demands = append(r.Demands, toldDemand(name, a.Own(s.now)))
+		}
+		if to.zone != s.config.AvailabilityZone && len(r.ZoneDemands) < maxDemands {
+			r.ZoneDemands = append(r.ZoneDemands, toldDemand(name, a.Zone(s.now)))
+		}
+	}
+}
+
+// openLevel marks what open flows ask: their priority p is told as -1-p.
+func openLevel(level int) int { return -1 - level }
+
+// toldDemand writes a demand for a report.
+func toldDemand(service string, demand admitter.Demand) messenger.ServiceDemand {
+	told := messenger.ServiceDemand{Service: service}
+	add := func(priority int, slots float64) {
+		if slots >= 0.001 {
+			told.Asked = append(told.Asked, messenger.PriorityDemand{Priority: priority, MilliSlots: uint32(slots * 1000)})
+		}
+	}
+	for level := range admitter.Levels {
+		add(level, demand.New[level])
+		add(openLevel(level), demand.Open[level])
+	}
+	return told
+}
+
+// demandOf reads a demand from a report.
+func demandOf(told messenger.ServiceDemand) admitter.Demand {
+	var demand admitter.Demand
+	for _, asked := range told.Asked {
+		slots := float64(asked.MilliSlots) / 1000
+		if asked.Priority < 0 {
+			demand.Open[min(openLevel(asked.Priority), admitter.Levels-1)] += slots
+		} else {
+			demand.New[min(asked.Priority, admitter.Levels-1)] += slots
+		}
+	}
+	return demand
+}
+
+// takeDemands takes in what a report tells of demand. Services that nobody lists are left
+// out, so that no word makes this host keep them.
+func (s *Steerer) takeDemands(r *messenger.Report, from *peer) {
+	if from.zone == s.config.AvailabilityZone {
+		for _, told := range r.Demands {
+			if len(s.targets.byService[told.Service]) > 0 {
+				s.service(told.Service).room.admitter.TakeHost(from.name, demandOf(told), s.now)
+			}
+		}
+		return
+	}
+	for _, told := range r.ZoneDemands {
+		if len(s.targets.byService[told.Service]) > 0 {
+			s.service(told.Service).room.admitter.TakeZone(from.zone, demandOf(told), s.now)
+		}
+	}
 }
--- a/core/steerer/comparing.go
+++ b/core/steerer/comparing.go
@@ -55,8 +55,8 @@
 	add("services", r.Shares, next.Shares, "new flows move; open flows stay where they are")
 	add("kind", r.Kind, next.Kind, "decides which open flows are reset when their target falls silent")
 	add("timeout", r.Timeout, next.Timeout, "no effect on flows")
-	add("latency objective", r.LatencyObjective, next.LatencyObjective, "no effect on flows")
+	add("latency objective", r.LatencyObjective, next.LatencyObjective, "decides how long requests may wait, and so how many get in, while a service is short of room")
 	add("regions", r.Regions, next.Regions, "new flows go to targets in these regions only; open flows stay where they are")
-	add("priority", r.Priority, next.Priority, "no effect on flows")
+	add("priority", r.Priority, next.Priority, "decides which new flows are refused first while a service is short of room; open flows stay")
 	return list
 }
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -33,6 +33,8 @@
 	TargetMalformed
 	// RequestPaced counts requests that had to wait at this host.
 	RequestPaced
+	// RefusedNoRoom counts those of the refused flows for which there was no room.
+	RefusedNoRoom
 	// DropStale counts packets that came while this host stood still.
 	DropStale
 	numCounts
@@ -41,7 +43,7 @@
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "refusedNoRoom", "dropStale",
 	}[c]
 }
 
@@ -73,7 +75,12 @@
 	// asked for more than their targets can do.
 	Paced   int
 	Pressed int
-	Ready   bool
+	// Short counts the services that are asked for more than their targets have room for.
+	// Room and Demand are those of the fullest service, in slots.
+	Short  int
+	Room   float64
+	Demand float64
+	Ready  bool
 }
 
 // Snapshot returns the present figures.
@@ -89,6 +96,7 @@
 			snapshot.Pressed++
 		}
 	}
+	s.addRoom(&snapshot)
 	for _, t := range s.targets.byID {
 		if t.health.unreachable() {
 			snapshot.Unreachable++
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -30,6 +30,8 @@
 	// opened says that a packet came that only an open flow sends. Until then the
 	// flow counts in its target's opening.
 	opened bool
+	// askedFor says that the flow's first request was counted when it opened.
+	askedFor bool
 	// copied says that copies of the opening packet came.
 	copied bool
 	// openedAt is when the first opening packet went out.
--- a/core/steerer/load.go
+++ b/core/steerer/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"cranberryspan.dev/core/admitter"
 	"cranberryspan.dev/core/pacer"
 )
 
@@ -22,6 +23,7 @@
 type service struct {
 	name string
 	load pacer.Load
+	room room
 	// underWay counts the requests that this host has passed on, paced those that
 	// wait.
 	underWay int
@@ -34,7 +36,7 @@
 func (s *Steerer) service(name string) *service {
 	v, ok := s.services[name]
 	if !ok {
-		v = &service{name: name}
+		v = &service{name: name, room: room{admitter: admitter.New(), work: map[string]*workTime{}}}
 		s.services[name] = v
 	}
 	return v
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -38,6 +38,7 @@
 	s.takeBusy(p, r.Busy)
 	s.takeQuick(p, r.Quick)
 	s.takeSilent(p, r.Silent)
+	s.takeDemands(r, p)
 	s.takeHints(r)
 	s.takeZoneHosts(r)
 	s.takeOrders(evacuator.Orders{Revision: r.OrdersRevision, Zones: r.Evacuated}, p.name)
@@ -246,6 +247,7 @@
 		Evacuated:          s.evacuator.Orders().Zones,
 	}
 	s.addHints(r, to)
+	s.addDemands(r, to)
 	// Any of the changes, not the latest: those of one moment are told by turns.
 	changes := s.peers.changes
 	for i := range min(len(changes), maxChanges) {
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -188,6 +188,7 @@
 func (s *Steerer) tick() {
 	s.notePause()
 	s.checkOpenings()
+	s.assessTick()
 	s.pacingTick()
 	s.expireFlows()
 	s.targetsTick()
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -50,15 +50,15 @@
 		s.refuseWithoutTarget(p, c)
 		return
 	}
-	if f == nil && s.wouldWait(route, to) {
-		s.refuse(p, "overload", field("service", service), field("waiting", itoa(s.service(service).paced)))
+	if f == nil && !s.admitsFlow(route, service) {
+		s.refuseForRoom(p, route, service)
 		return
 	}
 	if f == nil || f.target != to {
 		s.notePlaced(to)
 	}
 	if f == nil {
-		f = &flow{target: to, route: route, openedAt: s.now, lastPacket: s.now}
+		f = &flow{target: to, route: route, askedFor: true, openedAt: s.now, lastPacket: s.now}
 		if !s.remember(key, f) {
 			s.sendTarget(to, to.tag, p.Data)
 			return
@@ -160,6 +160,7 @@
 	}
 	f.opened = true
 	s.noteOpened(f)
+	s.noteOpeningTime(f)
 	to.opening--
 	f.sentEnd = p.Sequence
 	f.acknowledged = p.Acknowledged
@@ -194,6 +195,7 @@
 	if f.waiting {
 		return false
 	}
+	s.noteAsked(f)
 	if s.pace(key, f, p) {
 		return true
 	}
@@ -210,6 +212,7 @@
 	took := s.now.Since(f.waitingSince)
 	s.emit(&Answered{Route: f.route, Latency: took + f.pacedFor})
 	s.learnLoad(f, took)
+	s.learnRoom(f, took)
 	s.noteAnswer(f, took)
 	s.setWaiting(f, false)
 	s.passOn(s.service(f.target.Service))
