--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -33,6 +33,8 @@
 	TargetMalformed
 	// RequestPaced counts requests that had to wait at this host.
 	RequestPaced
+	// RefusedNoRoom counts those of the refused flows for which there was no room.
+	RefusedNoRoom
 	// DropStale counts packets that came while this host stood still.
 	DropStale
 	// StoreRestored counts restores of the platform's store that this host has learned of.
@@ -44,11 +46,27 @@
 	numCounts
 )
 
-func (c Count) String() string {
-	return [numCounts]string{
-		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale", "storeRestored", "targetSlow", "trialFlow",
-	}[c]
+func (c Count) String() string { return countNames[c] }
+
+var countNames = [numCounts]string{
+	DropUnknowing:   "dropUnknowing",
+	DropUnknownTag:  "dropUnknownTag",
+	Refused:         "refused",
+	FlowReset:       "flowReset",
+	ProbeSent:       "probeSent",
+	NotRemembered:   "notRemembered",
+	SettingsReads:   "settingsReads",
+	TargetsReads:    "targetsReads",
+	ReadsFailed:     "readsFailed",
+	ReportsSent:     "reportsSent",
+	QuickAnswer:     "quickAnswer",
+	TargetMalformed: "targetMalformed",
+	RequestPaced:    "requestPaced",
+	RefusedNoRoom:   "refusedNoRoom",
+	DropStale:       "dropStale",
+	StoreRestored:   "storeRestored",
+	TargetSlow:      "targetSlow",
+	TrialFlow:       "trialFlow",
 }
 
 // Counts holds a number for each Count.
@@ -84,7 +102,12 @@
 	// asked for more than their targets can do.
 	Paced   int
 	Pressed int
-	Ready   bool
+	// Short counts the services that are asked for more than their targets have room for.
+	// Room and Demand are those of the fullest service, in slots.
+	Short  int
+	Room   float64
+	Demand float64
+	Ready  bool
 }
 
 // Snapshot returns the present figures.
@@ -101,6 +124,7 @@
 			snapshot.Pressed++
 		}
 	}
+	s.addRoom(&snapshot)
 	for _, t := range s.targets.byID {
 		if t.health.unreachable() {
 			snapshot.Unreachable++
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -40,6 +40,7 @@
 	s.takeQuick(p, r.Quick)
 	s.takePaces(p, r.Paces)
 	s.takeSilent(p, r.Silent)
+	s.takeDemands(r, p)
 	s.takeHints(r)
 	s.takeZoneHosts(r)
 	s.noteEra(max(r.TargetsEra, r.OrdersEra, r.SettingsEra), p.name)
@@ -279,6 +280,7 @@
 		Evacuated:          s.evacuator.Orders().Zones,
 	}
 	s.addHints(r, to)
+	s.addDemands(r, to)
 	// Any of the changes, not the latest: those of one moment are told by turns.
 	changes := s.peers.changes
 	for i := range min(len(changes), maxChanges) {
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -195,6 +195,7 @@
 	s.notePause()
 	s.checkOpenings()
 	s.estimatingTick()
+	s.assessTick()
 	s.pacingTick()
 	s.expireFlows()
 	s.targetsTick()
