Connections of targets are counted, shared and bounded; full targets are known to be full

Cause: a target that holds all the flows that it may says nothing to an opening packet and cuts checks short. It was taken for silent, checked, avoided and tried again; callers waited for their repeats, or until their tries ended. Settings' max_connections was read by nobody.

Change: core/limiter counts each host's flows at each target, adds what hosts of the zone tell (Report.Flows, only where a service's flows exceed a third of its places) and estimates what nobody tells. Full targets are passed over, the last places are taken by turns, lasting flows leave places to checks, to brief flows and to higher priority, and flows are refused at once when all is full. An opening packet at a target that a check shows to be full is sent on.

--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -65,6 +65,8 @@
 	e.Scope.Gauge("targets_age_seconds").Update(snapshot.TargetsAge.Seconds())
 	e.Scope.Gauge("requests_paced").Update(float64(snapshot.Paced))
 	e.Scope.Gauge("services_pressed").Update(float64(snapshot.Pressed))
+	e.Scope.Gauge("connections").Update(float64(snapshot.Connections))
+	e.Scope.Gauge("connection_places").Update(float64(snapshot.ConnectionPlaces))
 	e.Scope.Gauge("ready").Update(exporter.OneIf(snapshot.Ready))
 }
 
--- /dev/null
+++ b/core/limiter/limiter.go
@@ -0,0 +1,376 @@
+// Package limiter decides how many more flows a host may open at a target that holds only
+// so many.
+//
+// The pattern: a target holds a bounded number of flows. Once it is full it says nothing
+// to an opening packet, so it looks like one that has crashed. A flow holds its place
+// while it idles, for many times as long as its requests take. All hosts of a fleet place
+// flows on the same targets; no host sees what the others hold, and a host that starts
+// again has forgotten what it held itself.
+//
+// The answer: each host counts its own flows and tells the hosts of the target's
+// availability zone. A host adds up what it was told, and estimates what it was not told:
+// the fabric spreads callers evenly over the hosts of a zone, so one that says nothing
+// holds about as many as the others do. What hosts knew before they started again counts on until such
+// flows have ended or sent something. If a target turns out to be full all the same, the
+// difference counts as unseen flows, fewer with time.
+//
+// What was weighed: a fixed part of the bound for each host needs no messages, but leaves
+// places idle at hosts with few callers, and is wrong as soon as hosts come and go. Word
+// of each service alone, with an even spread as the guess for each target, misses targets
+// that have just started, and flows from other zones.
+//
+// The package knows no network and no clock.
+package limiter
+
+import (
+	"encoding/binary"
+	"time"
+
+	"cranberryspan.dev/core/timekeeper"
+	"github.com/cespare/xxhash/v2"
+)
+
+// nearSilence is after how long a host of the own zone that tells nothing is taken to have
+// ended: some of its reports in a row would have been lost. Its callers' flows come to
+// other hosts as they send something.
+const nearSilence = 4 * time.Second
+
+// turnSpan is how long hosts that have their turn at the last places of a target keep it:
+// as long as their news takes to the others.
+const turnSpan = time.Second
+
+// Bound is what a target holds, as one flow asks for it.
+type Bound struct {
+	// Flows is how many flows a target holds at once.
+	Flows int
+	// Reserved is how many of them are kept for others than the flow that asks: liveness
+	// checks, and flows of higher priority.
+	Reserved int
+}
+
+// Guess is what stands for flows at a target of which nobody tells.
+type Guess struct {
+	// PerHost is how many flows a host of the target's zone has there that tells nothing.
+	PerHost float64
+	// Growth is how many flows a host of the target's zone has placed there since it was
+	// last heard: as many as this host has, since callers are spread evenly.
+	Growth float64
+	// Least is how many flows the targets of another zone have on average, by word of that
+	// zone.
+	Least int
+}
+
+// Belief is what a host takes the flows at a target to be.
+type Belief struct {
+	// Own are flows through this host.
+	Own int
+	// Told are those that other hosts tell of.
+	Told int
+	// Estimated are those that nobody tells of.
+	Estimated int
+}
+
+// Sum is all flows at the target.
+func (b Belief) Sum() int { return b.Own + b.Told + b.Estimated }
+
+// Word is what another host tells.
+type Word struct {
+	// Incarnation differs between two starts of the host.
+	Incarnation uint64
+	// Near says that the host is of this host's availability zone.
+	Near bool
+	// Flows are the host's flows by target. A target that is left out holds as many as
+	// were told last.
+	Flows map[uint32]uint16
+}
+
+// Limiter is what one host knows of the flows at all targets. It belongs to one owner.
+type Limiter struct {
+	// seed differs by host.
+	seed  uint64
+	start timekeeper.Instant
+	// idle is after how long a flow that sends nothing has ended.
+	idle    time.Duration
+	targets map[uint32]*Target
+	holders map[string]*holder
+	// tellers counts the holders of the own zone, silent the hosts of the own zone that
+	// live and have told nothing.
+	tellers int
+	silent  int
+}
+
+// holder is another host that has told what it holds.
+type holder struct {
+	incarnation uint64
+	near        bool
+	heard       timekeeper.Instant
+	flows       map[uint32]uint16
+	// former is what the host held before it started again, at formerSince. Its flows are
+	// still at the targets, but the host knows of them only once they send something.
+	former      map[uint32]uint16
+	formerSince timekeeper.Instant
+	// counted is what stands for the host in the targets' told.
+	counted map[uint32]int
+}
+
+// Target is what one host knows of the flows at a target.
+type Target struct {
+	own  int
+	told int
+	// net is how many more flows this host has placed there than have ended.
+	net int
+	// freed counts places that this host's flows have left of late, the last at freedAt.
+	freed   int
+	freedAt timekeeper.Instant
+	// placedAt is when this host last placed a flow there.
+	placedAt timekeeper.Instant
+	// used says that this host has placed a flow there.
+	used bool
+	// unseen counts flows that nobody tells of and that fill the target nevertheless, as
+	// of unseenSince.
+	unseen      int
+	unseenSince timekeeper.Instant
+}
+
+// New makes the Limiter of a host that started at a moment.
+func New(self string, start timekeeper.Instant, idle time.Duration) *Limiter {
+	return &Limiter{seed: xxhash.Sum64String(self), start: start, idle: idle, targets: map[uint32]*Target{}, holders: map[string]*holder{}}
+}
+
+// Target returns the record of a target, which it makes if there is none.
+func (l *Limiter) Target(tag uint32) *Target {
+	t, ok := l.targets[tag]
+	if !ok {
+		t = &Target{}
+		l.targets[tag] = t
+	}
+	return t
+}
+
+// Forget drops what is known of a target that has ended, or has started again.
+func (l *Limiter) Forget(tag uint32) {
+	delete(l.targets, tag)
+	for _, h := range l.holders {
+		delete(h.flows, tag)
+		delete(h.former, tag)
+		delete(h.counted, tag)
+	}
+}
+
+// SetIdle changes after how long a flow that sends nothing has ended.
+func (l *Limiter) SetIdle(idle time.Duration) { l.idle = idle }
+
+// SetNear takes in how many other hosts of the own zone live.
+func (l *Limiter) SetNear(living int) { l.silent = max(living-l.tellers, 0) }
+
+// PerHost is how many flows at a target a host of the own zone has on average, given this
+// host's flows at some of the zone's targets and those that it was told of. What others have
+// goes first: this host may have started just now.
+func (l *Limiter) PerHost(own, told, targets int) float64 {
+	if l.tellers > 0 {
+		return float64(told) / float64(max(targets, 1)) / float64(l.tellers)
+	}
+	return float64(own) / float64(max(targets, 1))
+}
+
+// Net is how many more flows this host has placed at a target than have ended.
+func (t *Target) Net() int { return t.net }
+
+// Told is how many flows at a target other hosts tell of.
+func (t *Target) Told() int { return t.told }
+
+// Placed counts a flow that this host has placed at the target.
+func (t *Target) Placed(now timekeeper.Instant) {
+	t.Seen()
+	t.net++
+	t.placedAt = now
+	t.freed = max(t.freed-1, 0)
+}
+
+// Seen counts a flow that goes on through this host and that it did not know of.
+func (t *Target) Seen() {
+	t.own++
+	t.used = true
+}
+
+// Ended takes back a flow that Placed or Seen counted.
+func (t *Target) Ended(now timekeeper.Instant) {
+	t.own = max(t.own-1, 0)
+	t.net--
+	t.freed++
+	t.freedAt = now
+}
+
+// Own is the number of flows through this host.
+func (t *Target) Own() int { return t.own }
+
+// Take takes in what another host tells.
+func (l *Limiter) Take(host string, w Word, now timekeeper.Instant) {
+	h, ok := l.holders[host]
+	if !ok {
+		h = &holder{incarnation: w.Incarnation, near: w.Near, flows: map[uint32]uint16{}, counted: map[uint32]int{}}
+		l.holders[host] = h
+		l.tellers += oneIf(w.Near)
+	}
+	if h.incarnation != w.Incarnation {
+		h.incarnation = w.Incarnation
+		l.retire(h)
+	}
+	h.heard = now
+	for tag, n := range w.Flows {
+		h.flows[tag] = n
+		l.count(h, tag, now)
+	}
+}
+
+// retire marks what a host has told as what it held before it fell silent, or started
+// again. Of what it held before that, the rest counts on.
+func (l *Limiter) retire(h *holder) {
+	if len(h.flows) == 0 {
+		return
+	}
+	for tag, n := range h.former {
+		h.flows[tag] = max(h.flows[tag], uint16(l.left(int(n), h.formerSince, h.heard)))
+	}
+	h.former, h.formerSince = h.flows, h.heard
+	h.flows = map[uint32]uint16{}
+}
+
+// count replaces what stands for a host at a target.
+func (l *Limiter) count(h *holder, tag uint32, now timekeeper.Instant) {
+	n := max(int(h.flows[tag]), l.left(int(h.former[tag]), h.formerSince, now))
+	l.Target(tag).told += n - h.counted[tag]
+	if n == 0 {
+		delete(h.counted, tag)
+		return
+	}
+	h.counted[tag] = n
+}
+
+// left is how many of some flows are still there, if nothing was heard of them since a
+// moment: an even part of them ends in each moment until all have idled for too long.
+func (l *Limiter) left(flows int, since, now timekeeper.Instant) int {
+	remaining := l.idle - now.Since(since)
+	if flows == 0 || remaining <= 0 {
+		return 0
+	}
+	return int(float64(flows)*float64(remaining)/float64(l.idle) + 0.5)
+}
+
+// Sweep lets what was told grow old. It is called some times in a flow's idle time.
+func (l *Limiter) Sweep(now timekeeper.Instant) {
+	for name, h := range l.holders {
+		if now.Since(h.heard) > l.idle {
+			l.drop(name, h)
+			continue
+		}
+		if h.near && now.Since(h.heard) > nearSilence {
+			l.retire(h)
+		}
+		if len(h.former) == 0 {
+			continue
+		}
+		for tag := range h.former {
+			l.count(h, tag, now)
+		}
+		if now.Since(h.formerSince) > l.idle {
+			h.former = nil
+		}
+	}
+}
+
+// drop forgets a host. Its callers' flows have gone to others, or have ended.
+func (l *Limiter) drop(name string, h *holder) {
+	for tag, n := range h.counted {
+		l.Target(tag).told -= n
+	}
+	delete(l.holders, name)
+	l.tellers -= oneIf(h.near)
+}
+
+// Belief is what is known of a target.
+func (l *Limiter) Belief(t *Target, bound int, g Guess, now timekeeper.Instant) Belief {
+	b := Belief{Own: t.own, Told: t.told}
+	others := g.PerHost*float64(l.silent) + g.Growth*float64(l.tellers)
+	b.Estimated = l.forgotten(t, now) + int(others+0.5)
+	b.Estimated = max(b.Estimated, g.Least-b.Own-b.Told)
+	// No target holds more than its bound, so what has been told of since is unseen no more.
+	unseen := min(l.left(t.unseen, t.unseenSince, now), max(bound-b.Sum(), 0))
+	if unseen == 0 {
+		t.unseen = 0
+	}
+	b.Estimated += unseen
+	return b
+}
+
+// forgotten estimates how many flows this host's callers hold that it has not seen since it
+// started: as many as those of another host of the zone, fewer with time.
+func (l *Limiter) forgotten(t *Target, now timekeeper.Instant) int {
+	if l.tellers == 0 || t.told == 0 {
+		return 0
+	}
+	return max(l.left(t.told/l.tellers, l.start, now)-t.own, 0)
+}
+
+// Room is how many more flows this host may place at a target; 0 if none.
+func (l *Limiter) Room(t *Target, b Bound, g Guess, now timekeeper.Instant) int {
+	return max(b.Flows-b.Reserved-l.Belief(t, b.Flows, g, now).Sum(), 0)
+}
+
+// Admits reports whether this host may place one more flow at a target.
+//
+// What goes wrong if all hosts may while there is room: what each knows of the others is a
+// second old, so all of a zone go for the last places, and most meet a full target. One
+// notices by openings that wait at targets believed to have one place left. So when there
+// are fewer places than hosts, as many hosts as places have their turn, others each
+// second, and each places one flow. A place that this host's own flow has left is its own for that time: nobody
+// else knows of it.
+func (l *Limiter) Admits(t *Target, tag uint32, b Bound, g Guess, now timekeeper.Instant) bool {
+	room := l.Room(t, b, g, now)
+	hosts := l.tellers + l.silent + 1
+	switch {
+	case room == 0:
+		return false
+	case room >= hosts, t.freed > 0 && now.Since(t.freedAt) < turnSpan:
+		return true
+	case turnOf(t.placedAt) == turnOf(now):
+		return false
+	}
+	return int(l.draw(tag, now)%uint64(hosts)) < room
+}
+
+func turnOf(now timekeeper.Instant) uint64 { return uint64(now) / uint64(turnSpan) }
+
+// draw is a number that differs by host, target and turn.
+func (l *Limiter) draw(tag uint32, now timekeeper.Instant) uint64 {
+	var buffer [20]byte
+	binary.BigEndian.PutUint32(buffer[:4], tag)
+	binary.BigEndian.PutUint64(buffer[4:12], turnOf(now))
+	binary.BigEndian.PutUint64(buffer[12:], l.seed)
+	return xxhash.Sum64(buffer[:])
+}
+
+// Full takes in that a target has turned out to be full.
+func (l *Limiter) Full(t *Target, bound int, g Guess, now timekeeper.Instant) {
+	t.unseen, t.unseenSince = 0, now
+	t.unseen = max(bound-l.Belief(t, bound, g, now).Sum(), 0)
+}
+
+// Flows lists this host's flows at those of some targets at which it has placed any, for
+// what it tells. The numbers of flows that have ended since are listed as well.
+func (l *Limiter) Flows(tags []uint32) map[uint32]uint16 {
+	flows := make(map[uint32]uint16, len(tags))
+	for _, tag := range tags {
+		if t, ok := l.targets[tag]; ok && t.used {
+			flows[tag] = uint16(min(t.own, 1<<16-1))
+		}
+	}
+	return flows
+}
+
+func oneIf(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -95,7 +95,8 @@
 type ServiceDemand struct {
 	_       struct{} `cbor:",toarray"`
 	Service string
-	// Flows is how many flows are open at the service's targets.
+	// Flows is how many flows are open at the service's targets; for a zone, how many each
+	// of its targets has on average.
 	Flows uint32
 	// Asked is what new requests of each priority would keep busy.
 	Asked []PriorityDemand
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -88,11 +88,17 @@
 	var best *target
 	var bestLoad float64
 	views := s.views(&c)
+	crowd, full := s.crowdOf(&c), false
 	for _, t := range s.targets.byService[c.service] {
 		if s.excluded(t, views) != notExcluded || !s.admits(t) {
 			continue
 		}
-		load := s.load(t, c.hash) + views[t.zone].load()
+		connections, room := s.connectionLoad(t, crowd)
+		if !room {
+			full = true
+			continue
+		}
+		load := connections + s.load(t, c.hash) + views[t.zone].load()
 		if t == c.avoid {
 			load += unreachableLoad
 		}
@@ -100,6 +106,9 @@
 			best, bestLoad = t, load
 		}
 	}
+	if full && best != nil && best.health.unreachable() {
+		return nil // Those that live are full: the caller should know at once.
+	}
 	return best
 }
 
@@ -139,6 +148,9 @@
 	}
 	reason := "noTarget"
 	switch {
+	case s.anyFull(&c, views):
+		s.refuseFull(p, &c)
+		return
 	case counts[notExcluded] > 0:
 		reason = "coldTargets"
 	case counts[excludedZone] > 0:
--- /dev/null
+++ b/core/steerer/connections_test.go
@@ -0,0 +1,382 @@
+package steerer_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+// shop is a fleet before targets that hold a bounded number of flows. A target that is
+// full says nothing to an opening packet, and cuts checks short.
+type shop struct {
+	*fleet
+	bound int
+	// held counts the flows at each target, open lists their callers.
+	held map[string]int
+	open []*visit
+	next int
+	// asked counts the openings, late those that had not opened after the repeat of their
+	// callers, refused those that were reset.
+	asked   int
+	late    int
+	refused int
+	// repeats counts the copies that callers had to send.
+	repeats int
+}
+
+// visit is a flow and the host through which it goes.
+type visit struct {
+	*caller
+	host string
+}
+
+// newShop starts hosts before the usual six targets of the ledger, three zones or fewer.
+func newShop(t tester, bound int, hostsByZone ...int) *shop {
+	f := newFleet(t, hostsByZone...)
+	routes := routes()
+	routes[1].Priority = 0
+	routes[0].Priority = 1
+	f.settings = steerer.NewSettings(2, routes, []steerer.Service{{Name: "ledger", HealthPath: "/healthz", MaxConnections: bound}}, 15*time.Second)
+	f.step(4 * time.Second)
+	return &shop{fleet: f, bound: bound, held: map[string]int{}}
+}
+
+// arrive lets a caller open a flow through a host, and repeat its opening packet once. It
+// reports whether the flow opened.
+func (s *shop) arrive(host string, urgent bool) bool {
+	s.t.Helper()
+	s.next++
+	s.asked++
+	route := readRoute
+	if urgent {
+		route = checkRoute
+	}
+	c := s.caller(s.next, route)
+	resets := len(s.hosts[host].resets)
+	c.open(host, 0)
+	for copies := uint32(0); ; copies++ {
+		if len(s.hosts[host].resets) > resets {
+			s.refused++
+			return false
+		}
+		if s.takes(c) {
+			break
+		}
+		if copies == 2 {
+			s.late++
+			return false
+		}
+		s.wait(c, host)
+		if len(s.hosts[host].resets) == resets && !s.takes(c) {
+			s.repeats++
+			c.open(host, copies+1)
+		}
+	}
+	s.held[c.target]++
+	s.open = append(s.open, &visit{caller: c, host: host})
+	c.establish(host)
+	s.mark()
+	return true
+}
+
+func (s *shop) takes(c *caller) bool { return c.target != "" && s.held[c.target] < s.bound }
+
+// wait lets time pass until a caller's repeat, or until its opening packet was sent on.
+func (s *shop) wait(c *caller, host string) {
+	for range 4 {
+		before := len(s.hosts[host].sent)
+		s.step(10 * time.Millisecond)
+		s.keepAlive() // Targets that are full work.
+		s.step(steerer.TickEvery - 10*time.Millisecond)
+		for _, one := range s.hosts[host].sent[before:] {
+			if one.flow == c.address.String() && one.tag != 0 {
+				c.target, c.tag = one.target, one.tag
+			}
+		}
+		if s.takes(c) || len(s.hosts[host].resets) > 0 {
+			return
+		}
+	}
+}
+
+// mark says how checks of each target end.
+func (s *shop) mark() {
+	for id := range s.targets {
+		delete(s.outcomes, id)
+		if s.held[id] >= s.bound {
+			s.outcomes[id] = steerer.ProbeCut
+		}
+	}
+}
+
+// leave ends a flow; silently if its caller goes without a word.
+func (s *shop) leave(at int, silently bool) {
+	v := s.open[at]
+	s.open = append(s.open[:at], s.open[at+1:]...)
+	s.held[v.target]--
+	if !silently {
+		v.finish(v.host)
+	}
+	s.mark()
+}
+
+// keepAlive lets each flow ask something, so that none counts as idle.
+func (s *shop) keepAlive() {
+	for _, v := range s.open {
+		v.ask(v.host)
+		v.thank(v.host)
+	}
+}
+
+func (s *shop) logged(host, event string) int {
+	count := 0
+	for _, line := range s.hosts[host].logs {
+		if line.Event == event {
+			count++
+		}
+	}
+	return count
+}
+
+// spread is the least and the most that a target of the ledger holds.
+func (s *shop) spread() (least, most int) {
+	least = s.bound
+	for id := range s.targets {
+		if strings.HasPrefix(id, "i-1") {
+			least, most = min(least, s.held[id]), max(most, s.held[id])
+		}
+	}
+	return least, most
+}
+
+// Load: as many flows as fill three quarters of all places, over three hosts that hear each
+// other. All open at once, at targets that are even.
+func TestFlowsAreSpreadEvenlyWhereConnectionsAreTight(t *testing.T) {
+	s := newShop(t, 20, 3)
+	for n := range 90 {
+		require.True(t, s.arrive(s.names[n%3], false), "flow %d", n)
+		s.step(steerer.TickEvery)
+	}
+	least, most := s.spread()
+	require.Zero(t, s.refused+s.late)
+	require.LessOrEqual(t, most-least, 4, "%v", s.held)
+	require.Equal(t, 1, s.logged("a1", "connectionsTight"))
+}
+
+// Load: one request under way at each target but one. New flows go where nobody waits, but
+// not until that target is full: whoever comes next would find it so.
+func TestIdleTargetIsNotFilledWithFlows(t *testing.T) {
+	s := newShop(t, 20, 1)
+	for range 66 {
+		require.True(t, s.arrive("a1", false))
+		s.step(steerer.TickEvery)
+	}
+	s.keepAlive()
+	asked := map[string]bool{"i-10000001": true}
+	for _, v := range s.open {
+		if !asked[v.target] {
+			asked[v.target] = true
+			v.ask(v.host)
+		}
+	}
+	for range 12 {
+		require.True(t, s.arrive("a1", false))
+	}
+	require.Less(t, s.held["i-10000001"], 18, "%v", s.held)
+}
+
+// Load: more flows than all targets hold. Symptom: callers wait until they give up. Cause:
+// a full target says nothing. The host knows that all are full, and says so at once.
+func TestFlowsBeyondAllPlacesAreRefusedAtOnce(t *testing.T) {
+	s := newShop(t, 20, 2)
+	for n := range 200 {
+		s.arrive(s.names[n%2], true)
+		s.step(steerer.TickEvery)
+	}
+	require.Zero(t, s.late)
+	require.Greater(t, len(s.open), 6*20*17/20, "%v", s.held)
+	require.Greater(t, s.refused, 70)
+	resets := len(s.hosts["a1"].resets)
+	require.False(t, s.arrive("a1", true))
+	require.Len(t, s.hosts["a1"].resets, resets+1)
+	require.Positive(t, s.logged("a1", "targetFull"))
+
+	for range 30 {
+		s.leave(0, false)
+	}
+	s.step(time.Second)
+	require.True(t, s.arrive("a1", true), "places that are left are used again")
+}
+
+// Load: reads fill what they may, then checks, which go first, are asked for.
+func TestPlacesAreReservedForHigherPriority(t *testing.T) {
+	s := newShop(t, 40, 1)
+	for range 3 {
+		require.True(t, s.arrive("a1", true))
+		s.step(time.Second)
+	}
+	for n := range 300 {
+		s.arrive("a1", false)
+		s.step(steerer.TickEvery)
+		if n%50 == 0 {
+			s.keepAlive()
+		}
+	}
+	require.Positive(t, s.refused, "reads fill what they may")
+	opened := 0
+	for range 10 {
+		if s.arrive("a1", true) {
+			opened++
+		}
+	}
+	require.Equal(t, 10, opened, "checks find room")
+	require.False(t, s.arrive("a1", false))
+}
+
+// Symptom: callers wait for their own repeat, 200 ms, at targets that work. Sequence: hosts
+// that this one does not hear have filled a target; its siblings have room. Cause: it shows
+// life on its open flows, so nobody looks for what it does with new ones.
+func TestFullTargetIsKnownToBeFullNotSilent(t *testing.T) {
+	s := newShop(t, 20, 1)
+	for range 60 {
+		require.True(t, s.arrive("a1", false))
+		s.step(steerer.TickEvery)
+	}
+	const full = "i-10000001"
+	s.held[full] = s.bound // Flows of hosts that are not heard.
+	s.mark()
+	for range 30 {
+		require.True(t, s.arrive("a1", false))
+		s.step(steerer.TickEvery)
+	}
+	require.Zero(t, s.repeats)
+	require.Zero(t, s.logged("a1", "targetUnreachable"))
+	require.Zero(t, s.logged("a1", "flowReset"))
+	require.Positive(t, s.logged("a1", "flowSentOn"), "the host sends it on before its caller repeats it")
+}
+
+// Symptom: flows are refused although targets are half empty. Sequence: callers lose power
+// and end without a word. Cause: their flows count for good. They end with the idle time.
+func TestFlowsThatEndWithoutAWordAreForgotten(t *testing.T) {
+	s := newShop(t, 20, 1)
+	for range 130 {
+		s.arrive("a1", true)
+		s.step(steerer.TickEvery)
+	}
+	require.False(t, s.arrive("a1", true))
+	for range 60 {
+		s.leave(0, true)
+	}
+	require.False(t, s.arrive("a1", true), "nobody knows yet")
+	for range 17 {
+		s.keepAlive()
+		s.step(time.Second)
+	}
+	require.True(t, s.arrive("a1", true))
+}
+
+// Load: all callers come through one host, and fill all places; then some come through
+// another. Symptom: these meet full targets one after the other. Cause: what a host has
+// itself is taken for what each has.
+func TestHostsTellEachOtherWhatTheyHold(t *testing.T) {
+	s := newShop(t, 20, 2)
+	for range 130 {
+		s.arrive("a1", true)
+		s.step(steerer.TickEvery)
+	}
+	s.step(time.Second)
+	free := 6*19 - len(s.open)
+	require.Less(t, free, 6, "the first host uses what the second has no callers for")
+	s.refused = 0
+	probes := s.probes
+	for range 20 {
+		s.keepAlive()
+		s.arrive("a2", true)
+		s.step(steerer.TickEvery)
+	}
+	require.GreaterOrEqual(t, s.refused, 20-free)
+	require.Zero(t, s.repeats)
+	require.Equal(t, probes, s.probes, "nobody has to try what is full")
+}
+
+// Symptom: a crowd of openings meets full targets when hosts start again. Sequence: two of
+// three hosts are killed and start again at once. Cause: a host that has started remembers
+// none of its callers' flows.
+func TestHostsThatHaveStartedAgainLearnWhatOthersHold(t *testing.T) {
+	s := newShop(t, 20, 4)
+	for n := range 200 {
+		s.arrive(s.names[n%4], true)
+		s.step(steerer.TickEvery)
+	}
+	s.keepAlive()
+	s.step(time.Second)
+	s.kill("a1")
+	s.kill("a2")
+	s.step(500 * time.Millisecond)
+	s.start("a1")
+	s.start("a2")
+	s.step(1500 * time.Millisecond)
+	s.late, s.refused = 0, 0
+	probes := s.probes
+	for n := range 40 {
+		s.arrive(s.names[n%2], true)
+	}
+	require.Zero(t, s.late)
+	require.GreaterOrEqual(t, s.refused, 30)
+	require.LessOrEqual(t, s.probes-probes, 12)
+}
+
+// Load: liveness checks at targets that are as full as hosts let them become.
+func TestChecksFindRoomAtTargetsThatHostsHaveFilled(t *testing.T) {
+	s := newShop(t, 20, 3)
+	for n := range 200 {
+		s.arrive(s.names[n%3], true)
+		s.step(4 * steerer.TickEvery)
+		if n%20 == 0 {
+			s.keepAlive()
+		}
+	}
+	full := 0
+	for _, n := range s.held {
+		if n == s.bound {
+			full++
+		}
+	}
+	require.LessOrEqual(t, full, 1, "%v", s.held)
+}
+
+// Nothing changes where targets hold plenty: nobody is told of flows.
+func TestPlentyOfConnectionsChangesNothing(t *testing.T) {
+	s := newShop(t, 2000, 2)
+	for n := range 100 {
+		require.True(t, s.arrive(s.names[n%2], false))
+	}
+	s.step(2 * time.Second)
+	require.Zero(t, s.logged("a1", "connectionsTight"))
+	for _, status := range s.hosts["a1"].steerer.TargetStatuses() {
+		require.Zero(t, status.ConnectionsBound)
+	}
+}
+
+func TestOperatorsSeeConnections(t *testing.T) {
+	s := newShop(t, 20, 1)
+	for range 150 {
+		s.arrive("a1", true)
+		s.step(steerer.TickEvery)
+	}
+	sum := 0
+	for _, status := range s.hosts["a1"].steerer.TargetStatuses() {
+		if status.Service == "ledger" {
+			require.Equal(t, 20, status.ConnectionsBound)
+			require.NotEmpty(t, status.Avoided)
+			sum += status.Connections
+		}
+	}
+	require.Equal(t, len(s.open), sum)
+	snapshot := s.hosts["a1"].steerer.Snapshot()
+	require.Equal(t, 120, snapshot.ConnectionPlaces)
+	require.Positive(t, snapshot.Counts[steerer.RefusedFull])
+}
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -33,6 +33,10 @@
 	TargetMalformed
 	// RequestPaced counts requests that had to wait at this host.
 	RequestPaced
+	// RefusedFull counts flows that were refused because all targets are full, SentOn those
+	// that this host sent on because a target did not take them.
+	RefusedFull
+	SentOn
 	// DropStale counts packets that came while this host stood still.
 	DropStale
 	numCounts
@@ -41,7 +45,7 @@
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "refusedFull", "sentOn", "dropStale",
 	}[c]
 }
 
@@ -73,7 +77,11 @@
 	// asked for more than their targets can do.
 	Paced   int
 	Pressed int
-	Ready   bool
+	// Connections counts the flows at the targets of services that are short of connections,
+	// as far as known, ConnectionPlaces how many there may be.
+	Connections      int
+	ConnectionPlaces int
+	Ready            bool
 }
 
 // Snapshot returns the present figures.
@@ -89,6 +97,10 @@
 			snapshot.Pressed++
 		}
 	}
+	for _, v := range s.connections.tight {
+		snapshot.Connections += v.flows
+		snapshot.ConnectionPlaces += v.places
+	}
 	for _, t := range s.targets.byID {
 		if t.health.unreachable() {
 			snapshot.Unreachable++
--- /dev/null
+++ b/core/steerer/crowding.go
@@ -0,0 +1,133 @@
+package steerer
+
+import "slices"
+
+// maxSentOn bounds the targets to which this host sends an opening packet after the first:
+// a caller gives up after 1.4 s, and each takes a round trip, a check and a tick or two.
+const maxSentOn = 8
+
+// keepOpening keeps the opening packet of a flow whose target may be full, so that it can be
+// sent on.
+func (s *Steerer) keepOpening(f *flow, p *Packet) {
+	if s.connections.tight[f.target.Service] != nil {
+		f.request = slices.Clone(p.Data)
+	}
+}
+
+// mayBeFull reports whether the target of a flow that has not opened may be full. Copies of
+// its opening packet then go elsewhere although the target works.
+func (s *Steerer) mayBeFull(f *flow) bool {
+	v := s.connections.tight[f.target.Service]
+	return v != nil && !f.opened && s.belief(f.target, v).Sum() >= v.bound-v.bound/mostReserved
+}
+
+// checkFull checks the target of a flow that should have opened by now, if its service is
+// short of connections.
+//
+// What goes wrong if only silence of the whole target counts: a full target answers those
+// that it holds, so it shows life, and the callers that it does not take wait for their
+// repeats. One notices by openings that take 200 ms at targets that work.
+func (s *Steerer) checkFull(key flowKey, f *flow) {
+	v := s.connections.tight[f.target.Service]
+	if v == nil || f.request == nil || !s.trusts() {
+		return
+	}
+	if s.belief(f.target, v).Sum() >= v.bound {
+		s.sendOn(key, f)
+		return
+	}
+	s.probe(f.target, s.checkPatience(f.target, f.openedAt))
+}
+
+// foundFull takes in that a target has cut a check short. If flows wait there to open, it is
+// full: it answers nothing to their opening packets, so that these can be sent on.
+func (s *Steerer) foundFull(t *target) {
+	v := s.connections.tight[t.Service]
+	if v == nil {
+		return
+	}
+	var keys []flowKey
+	for _, check := range s.opening {
+		f := s.flows[check.key]
+		if f != nil && f.target == t && !f.opened && f.request != nil && f.openedAt == check.since {
+			keys = append(keys, check.key)
+		}
+	}
+	if len(keys) == 0 {
+		return
+	}
+	for _, key := range keys {
+		s.releasePlace(s.flows[key]) // It holds no place there.
+	}
+	before := s.belief(t, v)
+	s.connections.limiter.Full(s.connections.limiter.Target(uint32(t.tag)), v.bound, s.guess(t, v), s.now)
+	s.logConnections("targetFull", t, v, s.belief(t, v), field("cause", "checkCut"), field("believed", itoa(before.Sum())), field("waiting", itoa(len(keys))))
+	for _, key := range keys {
+		s.sendOn(key, s.flows[key])
+	}
+}
+
+// sendOn sends an opening packet that its target does not take to another.
+//
+// In general an opening packet goes to one target at a time, since two that both answer
+// leave it open which of them has the flow. One that is full answers nothing.
+func (s *Steerer) sendOn(key flowKey, f *flow) {
+	if f.sentOn == maxSentOn {
+		return
+	}
+	p := Packet{Caller: key.caller, Service: key.service, Flags: FlagOpen, Data: f.request}
+	c := choice{route: f.route, service: f.target.Service, hash: key.hash(), avoid: f.target}
+	s.releasePlace(f)
+	to := s.choose(c)
+	if to == nil || to == f.target {
+		s.refuseFull(&p, &c)
+		s.forget(key, f)
+		return
+	}
+	s.counts.add(SentOn)
+	s.log("flowSentOn", field("flow", key.caller.String()), field("from", f.target.ID), field("target", to.ID), field("waitedMillis", millis(s.now.Since(f.openedAt))))
+	s.notePlaced(to)
+	s.move(f, to)
+	f.sentOn++
+	f.copied = true // How long it takes from now on says nothing of the path.
+	f.openedAt, f.lastPacket = s.now, s.now
+	s.watchOpening(key, to)
+	s.sendTarget(to, to.tag, f.request)
+}
+
+// anyFull reports whether a target is passed over only because it is full.
+func (s *Steerer) anyFull(c *choice, views []zoneView) bool {
+	crowd := s.crowdOf(c)
+	return crowd != nil && slices.ContainsFunc(s.targets.byService[c.service], func(t *target) bool {
+		_, room := s.connectionLoad(t, crowd)
+		return !room && s.excluded(t, views) == notExcluded
+	})
+}
+
+// refuseFull refuses a flow since all targets are full.
+func (s *Steerer) refuseFull(p *Packet, c *choice) {
+	s.counts.add(RefusedFull)
+	v := s.connections.tight[c.service]
+	bound := v.boundFor(&c.route)
+	s.refuse(p, "connections", field("service", c.service), field("priority", itoa(c.route.Priority)), field("flows", itoa(v.flows)), field("places", itoa(v.places)),
+		field("bound", itoa(bound.Flows)), field("reserved", itoa(bound.Reserved)), field("toldAgeMillis", ageText(s.now, s.connections.heard)))
+}
+
+// connectionsOf is how many flows a target holds as far as known, and how many it may; 0 if
+// its service has plenty.
+func (s *Steerer) connectionsOf(t *target) (flows, bound int) {
+	v := s.connections.tight[t.Service]
+	if v == nil {
+		return 0, 0
+	}
+	return s.belief(t, v).Sum(), v.bound
+}
+
+// tellsOfFlows reports whether a host that has just been heard of should learn at once what
+// this one holds.
+//
+// What goes wrong otherwise: a host starts again, takes the targets to be empty, and sends
+// a crowd of opening packets to targets that are full.
+func (s *Steerer) tellsOfFlows(p *peer) bool {
+	return len(s.connections.tight) > 0 && p.zone == s.config.AvailabilityZone
+}
--- a/core/steerer/event.go
+++ b/core/steerer/event.go
@@ -102,6 +102,9 @@
 	// ProbeBusy means that the target took the connection and did not answer in
 	// time.
 	ProbeBusy
+	// ProbeCut means that the target took the connection and ended it at once, with no
+	// answer.
+	ProbeCut
 )
 
 func (o ProbeOutcome) String() string {
@@ -118,6 +121,8 @@
 		return "silent"
 	case ProbeBusy:
 		return "busy"
+	case ProbeCut:
+		return "cut"
 	}
 	return "unknown"
 }
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"cranberryspan.dev/core/limiter"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/cespare/xxhash/v2"
 )
@@ -30,8 +31,12 @@
 	// opened says that a packet came that only an open flow sends. Until then the
 	// flow counts in its target's opening.
 	opened bool
-	// copied says that copies of the opening packet came.
+	// place counts the flow among those that its target holds; nil if it is not.
+	place *limiter.Target
+	// copied says that copies of the opening packet came, or that this host sent it on.
 	copied bool
+	// sentOn counts the targets after the first to which this host has sent it.
+	sentOn uint8
 	// openedAt is when the first opening packet went out.
 	openedAt timekeeper.Instant
 	// sentEnd is the end of the data that the caller has sent, acknowledged the
@@ -41,7 +46,8 @@
 	// waiting says that a request is under way since waitingSince.
 	waiting      bool
 	waitingSince timekeeper.Instant
-	// request is the first packet of the request that waits, if it is kept.
+	// request is the first packet of the request that waits, if it is kept; of a flow that
+	// has not opened it is the opening packet, if its target may be full.
 	request []byte
 	// paced is the flow's request that waits at this host, pacedFor how long the last
 	// one waited. underWay is the service that counts the request that was passed on.
@@ -92,6 +98,7 @@
 	}
 	s.flows[key] = f
 	f.target.flows++
+	s.takePlace(f)
 	if !f.opened {
 		f.target.opening++
 	}
@@ -108,6 +115,7 @@
 	s.dropPaced(f)
 	s.setWaiting(f, false)
 	f.target.flows--
+	s.releasePlace(f)
 	if !f.opened {
 		f.target.opening--
 	}
@@ -118,6 +126,7 @@
 	s.dropPaced(f)
 	s.setWaiting(f, false)
 	f.closed = true
+	s.releasePlace(f) // Both ends close at once: a caller has nothing to wait for after its last answer.
 }
 
 // watchOpening looks at a flow again that has just been sent to a target.
@@ -142,6 +151,7 @@
 		if f.target.health.lastProgress <= check.since {
 			s.suspect(f.target, "openingSlow", check.since)
 		}
+		s.checkFull(check.key, f)
 	})
 	s.opening.eachDue(s.now, func(check flowCheck) {
 		f := s.flows[check.key]
@@ -166,6 +176,9 @@
 		if f.waiting && f.lastPacket.Add(f.route.Timeout).Passed(s.now) {
 			s.setWaiting(f, false)
 		}
+		if !f.opened && f.openedAt.Add(maxOpening).Passed(s.now) {
+			s.releasePlace(f)
+		}
 		keep := idle
 		if f.closed {
 			keep = closedFlowMemory
@@ -186,7 +199,11 @@
 		f.target.opening--
 		to.opening++
 	}
+	s.releasePlace(f)
 	f.target = to
+	if !f.closed {
+		s.takePlace(f)
+	}
 }
 
 func (s *Steerer) setWaiting(f *flow, waiting bool) {
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -136,7 +136,7 @@
 	h.probing = false
 	h.outcome = e.Outcome
 	switch e.Outcome {
-	case ProbeHealthy, ProbeUnwilling, ProbeBusy:
+	case ProbeHealthy, ProbeUnwilling, ProbeBusy, ProbeCut:
 		h.suspect = false
 		h.silentSince = 0
 		s.diagnoser.Heard(t.AvailabilityZone, s.now)
@@ -144,6 +144,9 @@
 		s.noteSilence(t, e)
 	}
 	s.logTarget("targetProbed", t, field("outcome", e.Outcome.String()), field("tookMillis", millis(e.Took)))
+	if e.Outcome == ProbeCut {
+		s.foundFull(t)
+	}
 }
 
 // noteSilence takes a target out of reach, and tells the callers that wait for
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -59,6 +59,10 @@
 	PeersBusy int `json:"peersBusy"`
 	// Paced counts the requests that wait at this host for the target.
 	Paced int `json:"paced"`
+	// Connections is how many flows the target holds as far as known, ConnectionsBound how
+	// many it may; both are 0 unless its service is short of connections.
+	Connections      int `json:"connections,omitempty"`
+	ConnectionsBound int `json:"connectionsBound,omitempty"`
 	// Avoided says why new flows go elsewhere; empty if nothing speaks against the
 	// target but its load.
 	Avoided string `json:"avoided,omitempty"`
@@ -68,9 +72,11 @@
 func (s *Steerer) TargetStatuses() []TargetStatus {
 	list := make([]TargetStatus, 0, len(s.targets.byID))
 	for _, t := range s.targets.ordered() {
+		flows, bound := s.connectionsOf(t)
 		list = append(list, TargetStatus{
 			Target: t.ID, Service: t.Service, AvailabilityZone: t.AvailabilityZone, Address: t.Address.String(), Slots: t.Slots,
 			Flows: t.flows, Busy: t.busy + t.opening, PeersBusy: t.peersBusy, Paced: t.line.Len(), Avoided: s.avoided(t),
+			Connections: flows, ConnectionsBound: bound,
 		})
 	}
 	return list
@@ -92,6 +98,8 @@
 		return "no answer for " + ageText(s.now, t.health.silentSince) + " ms, last check " + t.health.outcome.String()
 	case t.health.suspect:
 		return "suspected, last sign of life " + ageText(s.now, t.health.lastProgress) + " ms ago"
+	case t.full && s.connections.tight[t.Service] != nil:
+		return "holds all the flows that it may"
 	case s.failsWork(t):
 		return "answers more quickly than it can work"
 	case !s.admits(t):
--- a/core/steerer/life.go
+++ b/core/steerer/life.go
@@ -32,6 +32,8 @@
 		s.forget(key, f)
 	}
 	t.health = health{}
+	t.full = false
+	s.connections.limiter.Forget(uint32(t.tag))
 	t.toldSilentDeadline = 0
 	t.quick = quickness{}
 	for _, p := range s.peers.ordered() {
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -38,6 +38,7 @@
 	s.takeBusy(p, r.Busy)
 	s.takeQuick(p, r.Quick)
 	s.takeSilent(p, r.Silent)
+	s.takeFlows(p, r)
 	s.takeHints(r)
 	s.takeZoneHosts(r)
 	s.takeOrders(evacuator.Orders{Revision: r.OrdersRevision, Zones: r.Evacuated}, p.name)
@@ -46,7 +47,7 @@
 	// It may know nothing yet. In a large fleet one that knows all need not hear from
 	// each host that it reports to for the first time.
 	knowsNothing := r.Version == 0 || r.TargetsRevision == 0
-	if fresh && (knowsNothing || len(s.peers.byName) <= smallFleet) {
+	if fresh && (knowsNothing || len(s.peers.byName) <= smallFleet || s.tellsOfFlows(p)) {
 		p.nextDeadline = 0
 		s.reportIfDue(p)
 	}
@@ -246,6 +247,7 @@
 		Evacuated:          s.evacuator.Orders().Zones,
 	}
 	s.addHints(r, to)
+	r.Flows = s.toldFlows(to)
 	// Any of the changes, not the latest: those of one moment are told by turns.
 	changes := s.peers.changes
 	for i := range min(len(changes), maxChanges) {
@@ -259,6 +261,7 @@
 		r.Silent = s.silentTargets()
 	} else {
 		r.ZoneHosts = s.zoneHosts(to.zone)
+		s.addZoneFlows(r)
 	}
 	return r
 }
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -116,6 +116,8 @@
 	paced    int
 	underWay flowChecks
 	leaving  leaving
+	// connections is what is known of the flows at targets that hold only so many.
+	connections connections
 
 	effects   []Effect
 	toTargets []ToTarget
@@ -141,6 +143,8 @@
 		evacuator: evacuator.New(),
 		warmer:    warmer.New(config.Self, config.Start),
 		diagnoser: diagnoser.New(),
+
+		connections: newConnections(config.Self, config.Start),
 	}
 	s.pause.lastTick = config.Start
 	if config.FirstStart && !slices.Contains(config.Seeds, config.Address) {
@@ -187,6 +191,7 @@
 
 func (s *Steerer) tick() {
 	s.notePause()
+	s.connectionsTick()
 	s.checkOpenings()
 	s.pacingTick()
 	s.expireFlows()
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -45,6 +45,9 @@
 	}
 	service := route.serviceFor(key.hash())
 	c := choice{route: route, service: service, hash: key.hash()}
+	if f == nil {
+		s.use(service, &route).asked++
+	}
 	to := s.chooseForOpening(f, &c)
 	if to == nil {
 		s.refuseWithoutTarget(p, c)
@@ -54,6 +57,9 @@
 		s.refuse(p, "overload", field("service", service), field("waiting", itoa(s.service(service).paced)))
 		return
 	}
+	if f == nil {
+		s.use(service, &route).placed++
+	}
 	if f == nil || f.target != to {
 		s.notePlaced(to)
 	}
@@ -63,6 +69,7 @@
 			s.sendTarget(to, to.tag, p.Data)
 			return
 		}
+		s.keepOpening(f, p)
 		s.watchOpening(key, to)
 	} else {
 		s.noteCopy(f, to)
@@ -84,7 +91,7 @@
 		return s.choose(*c)
 	}
 	stays := f.target.Service == c.service && s.excluded(f.target, s.views(c)) == notExcluded
-	if stays && f.target.health.lastProgress > f.openedAt {
+	if stays && f.target.health.lastProgress > f.openedAt && !s.mayBeFull(f) {
 		return f.target
 	}
 	c.avoid = f.target
@@ -159,6 +166,8 @@
 		return
 	}
 	f.opened = true
+	f.request = nil
+	s.takePlace(f)
 	s.noteOpened(f)
 	to.opening--
 	f.sentEnd = p.Sequence
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -105,6 +105,9 @@
 	// toldSilentDeadline is until when another host's word counts that it is silent.
 	toldSilentDeadline timekeeper.Instant
 
+	// full says that the target was last believed to hold all the flows that it may.
+	full bool
+
 	health health
 	quick  quickness
 }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -226,5 +226,21 @@
 without "the turn of those that will be late" pacer/line.go 'if r.turnDeadline.Passed(now) {' 'if false {' TestWaitIsBounded
 without "the end of pacing" pacer/pacer.go '(before && l.pressure > calmBelow)' 'before' TestUsualLoadDoesNotWait
 
+package=limiter
+without "what a host has forgotten since it started" limiter/limiter.go 'b.Estimated = l.forgotten(t, now) + int(others+0.5)' 'b.Estimated = int(others + 0.5)' TestHostThatHasStartedAgainCountsWhatItDoesNotRemember
+without "what a host told before it started again" limiter/limiter.go 'n := max(int(h.flows[tag]), l.left(int(h.former[tag]), h.formerSince, now))' 'n := int(h.flows[tag])' TestFlowsThatAHostHasForgottenCountOn
+without "flows unseen at full targets" limiter/limiter.go 't.unseen = max(bound-' 't.unseen = 0 * max(bound-' 'TestTargetThatIsFoundFullStaysSoUntilItsFlowsEnd|TestHostsThatDoNotHearEachOtherStayWithinTheBound'
+without "growth since others were heard" limiter/limiter.go '+ g.Growth*float64(l.tellers)' '+ 0*g.Growth' TestHerdIsTurnedAwayInTime
+without "the end of hosts that are gone" limiter/limiter.go 'if now.Since(h.heard) > l.idle {' 'if false {' TestFlowsOfAHostThatIsGoneEnd
+
+package=steerer
+without "an even spread of connections" steerer/connections.go 'return connectionLoad * float64(flows)' 'return 0 * connectionLoad * float64(flows)' TestIdleTargetIsNotFilledWithFlows
+without "the bound of connections" steerer/connections.go 'if !l.Admits(' 'if false && !l.Admits(' TestFlowsBeyondAllPlacesAreRefusedAtOnce
+without "places for higher priority" steerer/connections.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
+without "places for checks" steerer/connections.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
+without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
+without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
+without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
