--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -70,6 +70,8 @@
 	e.Scope.Gauge("services_short").Update(float64(snapshot.Short))
 	e.Scope.Gauge("fullest_service_room_slots").Update(snapshot.Room)
 	e.Scope.Gauge("fullest_service_demand_slots").Update(snapshot.Demand)
+	e.Scope.Gauge("connections").Update(float64(snapshot.Connections))
+	e.Scope.Gauge("connection_places").Update(float64(snapshot.ConnectionPlaces))
 	e.Scope.Gauge("ready").Update(exporter.OneIf(snapshot.Ready))
 }
 
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -105,11 +105,17 @@
 	if t := s.trial(c, views); t != nil {
 		return t
 	}
+	crowd, full := s.crowdOf(&c), false
 	for _, t := range s.targets.byService[c.service] {
 		if s.excluded(t, views) != notExcluded || !s.admits(t) {
 			continue
 		}
-		load := s.load(t, &views[t.zone], c.hash) + views[t.zone].load()
+		connections, room := s.connectionLoad(t, crowd)
+		if !room {
+			full = true
+			continue
+		}
+		load := connections + s.load(t, &views[t.zone], c.hash) + views[t.zone].load()
 		if t == c.avoid {
 			load += unreachableLoad
 		}
@@ -117,6 +123,9 @@
 			best, bestLoad = t, load
 		}
 	}
+	if full && best != nil && best.health.unreachable() {
+		return nil // Those that live are full: the caller should know at once.
+	}
 	return best
 }
 
@@ -156,6 +165,9 @@
 	}
 	reason := "noTarget"
 	switch {
+	case s.anyFull(&c, views):
+		s.refuseFull(p, &c)
+		return
 	case counts[notExcluded] > 0:
 		reason = "coldTargets"
 	case counts[excludedZone] > 0:
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -35,6 +35,10 @@
 	RequestPaced
 	// RefusedNoRoom counts those of the refused flows for which there was no room.
 	RefusedNoRoom
+	// RefusedFull counts flows that were refused because all targets are full, SentOn those
+	// that this host sent on because a target did not take them.
+	RefusedFull
+	SentOn
 	// DropStale counts packets that came while this host stood still.
 	DropStale
 	// StoreRestored counts restores of the platform's store that this host has learned of.
@@ -63,6 +67,8 @@
 	TargetMalformed: "targetMalformed",
 	RequestPaced:    "requestPaced",
 	RefusedNoRoom:   "refusedNoRoom",
+	RefusedFull:     "refusedFull",
+	SentOn:          "sentOn",
 	DropStale:       "dropStale",
 	StoreRestored:   "storeRestored",
 	TargetSlow:      "targetSlow",
@@ -107,7 +113,11 @@
 	Short  int
 	Room   float64
 	Demand float64
-	Ready  bool
+	// Connections counts the flows at the targets of services that are short of connections,
+	// as far as known, ConnectionPlaces how many there may be.
+	Connections      int
+	ConnectionPlaces int
+	Ready            bool
 }
 
 // Snapshot returns the present figures.
@@ -125,6 +135,10 @@
 		}
 	}
 	s.addRoom(&snapshot)
+	for _, v := range s.connections.tight {
+		snapshot.Connections += v.flows
+		snapshot.ConnectionPlaces += v.places
+	}
 	for _, t := range s.targets.byID {
 		if t.health.unreachable() {
 			snapshot.Unreachable++
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -71,6 +71,10 @@
 	Paced int `json:"paced"`
 	// Slowness is how much longer the target takes for a request than is usual; 1 is usual.
 	Slowness float64 `json:"slowness"`
+	// Connections is how many flows the target holds as far as known, ConnectionsBound how
+	// many it may; both are 0 unless its service is short of connections.
+	Connections      int `json:"connections,omitempty"`
+	ConnectionsBound int `json:"connectionsBound,omitempty"`
 	// Avoided says why new flows go elsewhere; empty if nothing speaks against the
 	// target but its load.
 	Avoided string `json:"avoided,omitempty"`
@@ -80,9 +84,11 @@
 func (s *Steerer) TargetStatuses() []TargetStatus {
 	list := make([]TargetStatus, 0, len(s.targets.byID))
 	for _, t := range s.targets.ordered() {
+		flows, bound := s.connectionsOf(t)
 		list = append(list, TargetStatus{
 			Target: t.ID, Service: t.Service, AvailabilityZone: t.AvailabilityZone, Address: t.Address.String(), Slots: t.Slots,
 			Flows: t.flows, Busy: t.busy + t.opening, PeersBusy: t.peersBusy, Paced: t.line.Len(), Slowness: s.slowness(t), Avoided: s.avoided(t),
+			Connections: flows, ConnectionsBound: bound,
 		})
 	}
 	return list
@@ -106,6 +112,8 @@
 		return "no answer for " + ageText(s.now, t.health.silentSince) + " ms, last check " + t.health.outcome.String()
 	case t.health.suspect:
 		return "suspected, last sign of life " + ageText(s.now, t.health.lastProgress) + " ms ago"
+	case t.full && s.connections.tight[t.Service] != nil:
+		return "holds all the flows that it may"
 	case s.failsWork(t):
 		return "answers more quickly than it can work"
 	case t.pace.Slow():
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -41,6 +41,7 @@
 	s.takePaces(p, r.Paces)
 	s.takeSilent(p, r.Silent)
 	s.takeDemands(r, p)
+	s.takeFlows(p, r)
 	s.takeHints(r)
 	s.takeZoneHosts(r)
 	s.noteEra(max(r.TargetsEra, r.OrdersEra, r.SettingsEra), p.name)
@@ -50,7 +51,7 @@
 	// It may know nothing yet. In a large fleet one that knows all need not hear from
 	// each host that it reports to for the first time.
 	knowsNothing := r.Version == 0 || r.TargetsRevision == 0
-	if fresh && (knowsNothing || len(s.peers.byName) <= smallFleet) {
+	if fresh && (knowsNothing || len(s.peers.byName) <= smallFleet || s.tellsOfFlows(p)) {
 		p.nextDeadline = 0
 		s.reportIfDue(p)
 	}
@@ -281,6 +282,7 @@
 	}
 	s.addHints(r, to)
 	s.addDemands(r, to)
+	r.Flows = s.toldFlows(to)
 	// Any of the changes, not the latest: those of one moment are told by turns.
 	changes := s.peers.changes
 	for i := range min(len(changes), maxChanges) {
@@ -295,6 +297,7 @@
 		r.Silent = s.silentTargets()
 	} else {
 		r.ZoneHosts = s.zoneHosts(to.zone)
+		s.addZoneFlows(r)
 	}
 	return r
 }
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -120,6 +120,8 @@
 	leaving  leaving
 	// estimating is how fast targets are.
 	estimating estimating
+	// connections is what is known of the flows at targets that hold only so many.
+	connections connections
 
 	effects   []Effect
 	toTargets []ToTarget
@@ -147,6 +149,8 @@
 		evacuator: evacuator.New(),
 		warmer:    warmer.New(config.Self, config.Start),
 		diagnoser: diagnoser.New(),
+
+		connections: newConnections(config.Self, config.Start),
 	}
 	s.pause.lastTick = config.Start
 	if config.FirstStart && !slices.Contains(config.Seeds, config.Address) {
@@ -193,6 +197,7 @@
 
 func (s *Steerer) tick() {
 	s.notePause()
+	s.connectionsTick()
 	s.checkOpenings()
 	s.estimatingTick()
 	s.assessTick()
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -267,6 +267,21 @@
 without "pressure that leaves out slow targets" steerer/load.go '|| s.answersSlowly(f.target) {' '{' TestSlowTargetsDoNotPressTheirService
 without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target))' 'pressed)' TestUsualDoesNotFollowSlowTargets
 without "speed that ends with a life" steerer/life.go 't.pace = estimator.Target{}' '' TestRestartedTargetIsNotSlow
+package=limiter
+without "what a host has forgotten since it started" limiter/limiter.go 'b.Estimated = l.forgotten(t, now) + int(others+0.5)' 'b.Estimated = int(others + 0.5)' TestHostThatHasStartedAgainCountsWhatItDoesNotRemember
+without "what a host told before it started again" limiter/limiter.go 'n := max(int(h.flows[tag]), l.left(int(h.former[tag]), h.formerSince, now))' 'n := int(h.flows[tag])' TestFlowsThatAHostHasForgottenCountOn
+without "flows unseen at full targets" limiter/limiter.go 't.unseen = max(bound-' 't.unseen = 0 * max(bound-' 'TestTargetThatIsFoundFullStaysSoUntilItsFlowsEnd|TestHostsThatDoNotHearEachOtherStayWithinTheBound'
+without "growth since others were heard" limiter/limiter.go '+ g.Growth*float64(l.tellers)' '+ 0*g.Growth' TestHerdIsTurnedAwayInTime
+without "the end of hosts that are gone" limiter/limiter.go 'if now.Since(h.heard) > l.idle {' 'if false {' TestFlowsOfAHostThatIsGoneEnd
+
+package=steerer
+without "an even spread of connections" steerer/connections.go 'return connectionLoad * float64(flows)' 'return 0 * connectionLoad * float64(flows)' TestIdleTargetIsNotFilledWithFlows
+without "the bound of connections" steerer/connections.go 'if !l.Admits(' 'if false && !l.Admits(' TestFlowsBeyondAllPlacesAreRefusedAtOnce
+without "places for higher priority" steerer/connections.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
+without "places for checks" steerer/connections.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
+without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
+without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
+without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
