--- a/standin/soak_test.go
+++ b/standin/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"path/filepath"
 	"testing"
@@ -20,7 +21,7 @@
 	if config.Zones == nil {
 		config.Zones = []int{2, 2}
 	}
-	config.Callers, config.Targets = 3, 6
+	config.Callers, config.Targets = cmp.Or(config.Callers, 3), cmp.Or(config.Targets, 6)
 	if config.Gap == 0 {
 		config.Gap = 600 * time.Millisecond
 	}
@@ -126,3 +127,14 @@
 		Only: []string{"restoreStore", "replaceTarget", "publish", "evacuateZone", "terminate"}, NoFailures: true,
 	})
 }
+
+// Symptom: callers are refused for good after the store has come back from a copy.
+// Sequence: targets are replaced and a zone evacuated while it is restored. Cause: hosts that
+// took revisions for points in one history, and were never told what came in between.
+func TestRestoredStoreLeavesNobodyBehind(t *testing.T) {
+	t.Parallel()
+	soakOnce(t, soaker.Config{
+		Seed: 81001, Block: 73, Zones: []int{2, 2}, Callers: 6, Targets: 9, Duration: 15 * time.Second, Gap: 700 * time.Millisecond,
+		Later: true, Newest: true, Orders: true, Restores: true, Only: []string{"restoreStore", "replaceTarget", "evacuateZone", "publish"},
+	})
+}
