--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -161,16 +161,11 @@
 }
 
 // pickInformant picks one of the hosts with the newest settings, and newer targets
-// if those are lacking, at random. A host that goes by targets of an era that has ended
-// needs those of the newest more than settings.
+// if those are lacking, at random.
 func (s *Steerer) pickInformant(newest uint64) *peer {
 	var near, far []*peer
 	for _, p := range s.peers.ordered() {
-		useful := p.hears(s.now) && p.position.Known() && p.version == newest
-		if s.leftBehind() {
-			useful = p.hears(s.now) && p.position.Era == s.reading.era
-		}
-		if !useful || (newest <= s.version() && !s.targetsPosition.Before(p.position)) {
+		if !s.canTell(p, newest) {
 			continue
 		}
 		if p.zone == s.config.AvailabilityZone {
@@ -188,6 +183,21 @@
 	return near[s.random.IntN(len(near))]
 }
 
+// canTell reports whether a host knows what this one lacks, if newest is the newest version
+// of the settings that any has. A host that goes by targets of an era that has ended needs
+// those of the newest era more than settings.
+func (s *Steerer) canTell(p *peer, newest uint64) bool {
+	switch {
+	case !p.hears(s.now) || !p.position.Known():
+		return false
+	case s.leftBehind():
+		return p.position.Era == s.reading.era
+	case p.version != newest:
+		return false
+	}
+	return newest > s.version() || s.targetsPosition.Before(p.position)
+}
+
 // noteDifference remembers since when this host's targets differ from those of
 // every host heard.
 func (s *Steerer) noteDifference(agrees bool) {
