--- a/operator/internal/printer/routes.go
+++ b/operator/internal/printer/routes.go
@@ -69,14 +69,14 @@
 // without flows against which nothing speaks.
 func (p Printer) Targets(hosts []HostTargets) error {
 	return p.print(hosts, func(w io.Writer) {
-		row(w, "HOST", "TARGET", "SERVICE", "ZONE", "SLOTS", "FLOWS", "BUSY", "PEERS BUSY", "AVOIDED")
+		row(w, "HOST", "TARGET", "SERVICE", "ZONE", "SLOTS", "FLOWS", "BUSY", "PEERS BUSY", "SLOWNESS", "AVOIDED")
 		for _, h := range hosts {
 			if h.Error != "" {
 				row(w, h.Admin, h.Error)
 			}
 			for _, t := range h.Targets {
 				if t.Flows > 0 || t.Avoided != "" {
-					row(w, h.Admin, t.Target, t.Service, t.AvailabilityZone, t.Slots, t.Flows, t.Busy, t.PeersBusy, t.Avoided)
+					row(w, h.Admin, t.Target, t.Service, t.AvailabilityZone, t.Slots, t.Flows, t.Busy, t.PeersBusy, fmt.Sprintf("%.1f", t.Slowness), t.Avoided)
 				}
 			}
 		}
