--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -313,5 +313,8 @@
 // Waits reports whether admitted requests wait at targets.
 func (a *Admitter) Waits() bool { return a.wait >= idleWait }
 
+// Crowded reports whether admitted requests wait for longer than they should.
+func (a *Admitter) Crowded() bool { return a.wait > aimedWait }
+
 // Tells reports whether others have to hear of the demand: the service may run short.
 func (a *Admitter) Tells() bool { return a.demand.Total() > reportedFullness*a.view.Room }
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -14,14 +14,6 @@
 	// assessEvery is how old the view of a service's room may be. Reports change it about
 	// as often.
 	assessEvery = 50 * time.Millisecond
-	// workSamples is how many answers of a route are needed to know how long work takes.
-	// The mean over hosts evens out what each is off.
-	workSamples = 8
-	// workStep is the part of each answer in the mean time of work once many have come,
-	// busyWorkStep while targets are busy. mostWork times the mean bounds what one counts.
-	workStep     = 0.005
-	busyWorkStep = workStep / 10
-	mostWork     = 4
 	// maxDemands bounds the services of a report.
 	maxDemands = 8
 	// zoneHostMemory is how long a report of any host of another zone shows that the
@@ -36,8 +28,9 @@
 	assessDeadline timekeeper.Instant
 	// opening is the usual time until a flow opens: what answers take besides work.
 	opening usualTime
-	// work holds the mean time of work, by route.
-	work map[string]*workTime
+	// work holds the usual time of work, by route: the median, with what requests wait on
+	// calm days, is close to the mean of the work alone.
+	work map[string]*usualTime
 }
 
 // short reports whether a service is asked for more than it has room for.
@@ -59,9 +52,11 @@
 	fits := a.Known() && a.Share(route.Priority) >= 1
 	switch {
 	case !route.Kind.repeatable():
-		return !a.Known() || a.Admit(route.Priority)
+		return !a.Known() || !a.Crowded() || a.Admit(route.Priority)
 	case fits:
 		return !s.wouldBeLate(v)
+	case a.Known() && a.Share(route.Priority) <= 0:
+		return false // Higher priorities need all the room.
 	default:
 		return !s.wouldWait(v)
 	}
@@ -116,10 +111,10 @@
 // What an answer takes on its way is what a flow takes to open.
 func (s *Steerer) work(route Route, v *service) time.Duration {
 	w, ok := v.room.work[route.Name]
-	if !ok || !w.known() || route.LatencyObjective <= w.mean {
+	if !ok || !w.known() || route.LatencyObjective <= w.median {
 		return 0
 	}
-	return w.mean
+	return w.median
 }
 
 // learnRoom learns from an answer how long requests wait at a service.
@@ -151,35 +146,12 @@
 func (r *room) learnWork(route string, took time.Duration) {
 	w, ok := r.work[route]
 	if !ok {
-		w = &workTime{}
+		w = &usualTime{}
 		r.work[route] = w
 	}
 	w.add(max(took-r.opening.median, shortestUsual), r.admitter.Tells() || r.admitter.Waits())
 }
 
-// workTime is the mean time that targets work on requests of a route.
-type workTime struct {
-	mean    time.Duration
-	samples int
-}
-
-// known reports whether enough answers have come.
-func (w *workTime) known() bool { return w.samples >= workSamples }
-
-// add takes in the time of an answer. One that came while targets were busy includes
-// waiting: it counts little, but not nothing, since work may have become longer for good.
-func (w *workTime) add(took time.Duration, busy bool) {
-	w.samples++
-	step := max(workStep, 1/float64(w.samples))
-	if busy && w.known() {
-		step = busyWorkStep
-	}
-	if w.samples > 1 {
-		took = min(took, mostWork*w.mean)
-	}
-	w.mean += time.Duration(step * float64(took-w.mean))
-}
-
 // assess brings the view of a service's room up to date.
 func (s *Steerer) assess(v *service) {
 	if !v.room.assessDeadline.Passed(s.now) {
--- a/core/steerer/load.go
+++ b/core/steerer/load.go
@@ -36,7 +36,7 @@
 func (s *Steerer) service(name string) *service {
 	v, ok := s.services[name]
 	if !ok {
-		v = &service{name: name, room: room{admitter: admitter.New(), work: map[string]*workTime{}}}
+		v = &service{name: name, room: room{admitter: admitter.New(), work: map[string]*usualTime{}}}
 		s.services[name] = v
 	}
 	return v
