--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -316,5 +316,17 @@
 // Crowded reports whether admitted requests wait for longer than they should.
 func (a *Admitter) Crowded() bool { return a.wait > aimedWait }
 
+// Age is how old the oldest word is on which the demand rests.
+func (a *Admitter) Age(now timekeeper.Instant) time.Duration {
+	oldest := now
+	for _, w := range a.hosts {
+		oldest = min(oldest, w.heard)
+	}
+	for _, w := range a.zones {
+		oldest = min(oldest, w.heard)
+	}
+	return now.Since(oldest)
+}
+
 // Tells reports whether others have to hear of the demand: the service may run short.
 func (a *Admitter) Tells() bool { return a.demand.Total() > reportedFullness*a.view.Room }
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -120,3 +120,22 @@
 		a.Admit(1)
 	}
 }
+
+// Symptom: a host believes that three times as much is asked as callers need, and goes on
+// refusing when less would fit in. Sequence: callers want one and a half times the room;
+// those that are refused ask twice more. Cause: tries that are taken for callers.
+func TestRepeatsOfRefusedCallersAreNoDemand(t *testing.T) {
+	const room, wanted = 100.0, 150.0
+	a := shortOf(room, admitter.Demand{})
+	for n := range 100 {
+		now := timekeeper.Instant(time.Duration(n) * 50 * time.Millisecond)
+		refused := 1 - a.Share(1)
+		var tries admitter.Demand
+		tries.New[1] = wanted * (1 + refused + refused*refused)
+		a.TakeZone("z", tries, now)
+		a.Answered(0.4)
+		a.Assess(now, admitter.View{Room: room, ZoneHosts: 2, InTouch: true})
+	}
+	require.InDelta(t, wanted, a.Demand().Total(), 0.05*wanted)
+	require.InDelta(t, room/wanted, 1-cube(1-a.Share(1)), 0.05, "two in three callers are served")
+}
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -14,6 +14,8 @@
 	// assessEvery is how old the view of a service's room may be. Reports change it about
 	// as often.
 	assessEvery = 50 * time.Millisecond
+	// lineShare is the part of a host's window that may wait while the fleet has room.
+	lineShare = 0.25
 	// maxDemands bounds the services of a report.
 	maxDemands = 8
 	// zoneHostMemory is how long a report of any host of another zone shows that the
@@ -39,27 +41,39 @@
 	return ok && v.room.admitter.Short()
 }
 
-// admitsFlow decides whether the request of a new flow gets in.
+// refusal is why a new flow doesn't get in.
+type refusal uint8
+
+const (
+	notRefused refusal = iota
+	// refusedNoRoom flows have no part in the room that all hosts share.
+	refusedNoRoom
+	// refusedOverload flows would wait behind others at this host.
+	refusedOverload
+)
+
+// refuses decides whether the request of a new flow has to be refused.
 //
 // What goes wrong if all get in: their callers wait for answers that can't be in time, and
 // take the places of those that can. Nothing has run, so who doesn't get in is told at
 // once. A host that hears no other goes by what waits at itself.
-func (s *Steerer) admitsFlow(route Route, service string) bool {
+func (s *Steerer) refuses(route Route, service string) refusal {
 	v := s.service(service)
 	s.assess(v)
 	a := v.room.admitter
 	a.AskedNew(route.Priority, s.work(route, v), s.now)
-	fits := a.Known() && a.Share(route.Priority) >= 1
+	fits := a.Share(route.Priority) >= 1
 	switch {
 	case !route.Kind.repeatable():
-		return !a.Known() || !a.Crowded() || a.Admit(route.Priority)
-	case fits:
-		return !s.wouldBeLate(v)
+		if a.Known() && a.Crowded() && !a.Admit(route.Priority) {
+			return refusedNoRoom
+		}
 	case a.Known() && a.Share(route.Priority) <= 0:
-		return false // Higher priorities need all the room.
-	default:
-		return !s.wouldWait(v)
+		return refusedNoRoom // Higher priorities need all of it.
+	case a.Known() && fits && s.wouldBeLate(v), !(a.Known() && fits) && s.wouldWait(v):
+		return refusedOverload
 	}
+	return notRefused
 }
 
 // wouldWait reports whether the request of a new flow would wait behind others that wait
@@ -67,20 +81,26 @@
 func (s *Steerer) wouldWait(v *service) bool { return v.load.Pressed() && v.paced > 0 }
 
 // wouldBeLate reports whether so many requests wait at this host that another would wait
-// for more than one answer. While the fleet has room, a few that wait are the unevenness
+// for a good part of the time that answers take. While the fleet has room, a few that wait are the unevenness
 // of the moment, and no ground to refuse anybody.
 func (s *Steerer) wouldBeLate(v *service) bool {
-	return v.load.Pressed() && float64(v.paced) >= v.load.Window()
+	return v.load.Pressed() && float64(v.paced) >= lineShare*v.load.Window()
 }
 
 // refuseForRoom refuses a new flow for which there is no room, and says what is believed
 // of it.
-func (s *Steerer) refuseForRoom(p *Packet, route Route, service string) {
-	a := s.service(service).room.admitter
+func (s *Steerer) refuseForRoom(p *Packet, route Route, service string, why refusal) {
+	v := s.service(service)
+	a := v.room.admitter
+	if why == refusedOverload {
+		s.counts.add(RefusedOverload)
+		s.refuse(p, "overload", field("route", route.Name), field("service", service), field("waiting", itoa(v.paced)))
+		return
+	}
 	s.counts.add(RefusedNoRoom)
 	s.refuse(p, "noRoom", field("route", route.Name), field("service", service), field("priority", itoa(route.Priority)),
 		field("zone", s.config.AvailabilityZone), field("room", slotsText(a.Room())), field("demand", slotsText(a.Demand().Total())),
-		field("share", fmt.Sprintf("%.2f", a.Share(route.Priority))), field("known", fmt.Sprint(a.Known())))
+		field("share", fmt.Sprintf("%.2f", a.Share(route.Priority))), field("demandAgeMillis", millis(a.Age(s.now))))
 }
 
 func slotsText(slots float64) string { return fmt.Sprintf("%.1f", slots) }
@@ -164,7 +184,7 @@
 	if !a.Assess(s.now, view) {
 		return
 	}
-	event := "serviceCalm"
+	event := "serviceFits"
 	if a.Short() {
 		event = "serviceShort"
 	}
--- /dev/null
+++ b/core/steerer/admitting_test.go
@@ -0,0 +1,145 @@
+package steerer_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/steerer"
+	"github.com/stretchr/testify/require"
+)
+
+// ledgerSlots is the room of the fixture's ledger.
+const ledgerSlots = 18
+
+// askedOf is demand for the ledger, in thousandths of a slot by told priority.
+func askedOf(asked ...messenger.PriorityDemand) []messenger.ServiceDemand {
+	return []messenger.ServiceDemand{{Service: "ledger", Asked: asked}}
+}
+
+// urgentCrowd leaves nothing for new flows of priority 2: urgent callers ask for 10 of 18
+// slots, reads of open flows for 9, and others want more.
+func urgentCrowd() []messenger.ServiceDemand {
+	return askedOf(
+		messenger.PriorityDemand{Priority: 1, MilliSlots: 10_000},
+		messenger.PriorityDemand{Priority: -3, MilliSlots: 9_000},
+		messenger.PriorityDemand{Priority: 2, MilliSlots: 5_000},
+	)
+}
+
+// calmPair is two hosts of a zone, of which a1 knows how long answers take.
+func calmPair(t *testing.T) *fleet {
+	f := newFleet(t, 2)
+	f.settings = settingsOf(2, objectiveRoutes())
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	return f
+}
+
+// tell lets a1 hear from a host of a zone, and brings its view up to date.
+func tell(f *fleet, from string, report *messenger.Report) {
+	report.Address, report.Incarnation = f.hosts["a2"].address, 1
+	f.reduce("a1", &steerer.ReportReceived{From: from, Report: report})
+	f.step(60 * time.Millisecond)
+}
+
+func opensAt(c *caller) bool {
+	c.open("a1", 0)
+	return c.target != ""
+}
+
+// lastRefusal is the latest line of a1 on a refused flow.
+func lastRefusal(f *fleet) string {
+	var last string
+	for _, l := range f.hosts["a1"].logs {
+		if l.Line.Event == "flowRefused" {
+			var fields []string
+			for _, one := range l.Line.Fields {
+				fields = append(fields, one.Key+"="+one.Value)
+			}
+			last = strings.Join(fields, " ")
+		}
+	}
+	return last
+}
+
+// Symptom: in a crowd urgent requests are late, since reads take their places. Sequence:
+// other hosts' callers and this one's ask for more than there is room for; a read and a
+// check open at this host, where nothing waits. Cause: a host that goes by what waits at
+// itself.
+func TestNothingLeftForReadsRefusesThemAtOnce(t *testing.T) {
+	f := calmPair(t)
+	press(f, 21_000)
+	tell(f, "a2", &messenger.Report{AvailabilityZone: "a", Demands: urgentCrowd()})
+	require.Equal(t, 1, f.hosts["a1"].steerer.Snapshot().Short)
+	require.False(t, opensAt(f.caller(1, readRoute)))
+	require.Contains(t, lastRefusal(f), "reason=noRoom")
+	require.Contains(t, lastRefusal(f), "priority=2")
+	require.NotZero(t, f.hosts["a1"].steerer.Snapshot().Counts[steerer.RefusedNoRoom])
+	for n := range 20 {
+		require.True(t, opensAt(f.caller(100+n, checkRoute)), "urgent callers fit in")
+	}
+}
+
+// Symptom: callers are refused while slots idle. Sequence: hosts believe that too much is
+// asked; answers come as quickly as usual. Cause: an estimate that answers don't overrule.
+func TestNobodyIsRefusedWhileAnswersAreQuick(t *testing.T) {
+	f := calmPair(t)
+	tell(f, "a2", &messenger.Report{AvailabilityZone: "a", Demands: urgentCrowd()})
+	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Short)
+	require.True(t, opensAt(f.caller(1, readRoute)))
+}
+
+// Symptom: a host that is cut off from its zone refuses by what another zone asks.
+// Sequence: a service is short; no host of the own zone reports any more. Cause: a demand
+// of which the own zone's part is missing is shared out.
+func TestHostOutOfTouchGoesByItsOwnWindow(t *testing.T) {
+	f := calmPair(t)
+	press(f, 21_000)
+	tell(f, "b9", &messenger.Report{AvailabilityZone: "b", ZoneDemands: urgentCrowd()})
+	require.Equal(t, 1, f.hosts["a1"].steerer.Snapshot().Short)
+	f.kill("a2")
+	f.step(1500 * time.Millisecond)
+	require.Greater(t, f.hosts["a1"].steerer.Snapshot().Demand, float64(ledgerSlots), "the other zone's word still counts")
+	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Short)
+	require.True(t, opensAt(f.caller(1, readRoute)), "nothing waits at this host")
+}
+
+// Symptom: a zone lets everybody in while callers of another fill its targets. Cause: what
+// other zones' callers ask is not known.
+func TestDemandOfOtherZonesCounts(t *testing.T) {
+	f := calmPair(t)
+	before := f.hosts["a1"].steerer.Snapshot().Demand
+	tell(f, "b9", &messenger.Report{AvailabilityZone: "b", ZoneDemands: urgentCrowd()})
+	require.InDelta(t, before+24, f.hosts["a1"].steerer.Snapshot().Demand, 2)
+}
+
+// Load: callers of one host ask for more than half of the room. Its neighbour hears of it,
+// and on calm days no report says anything.
+func TestDemandIsToldOnceItFillsHalfOfTheRoom(t *testing.T) {
+	f := calmPair(t)
+	require.Less(t, f.hosts["a2"].steerer.Snapshot().Demand, 1.0)
+	for n := range 400 {
+		c := f.caller(2000+n, checkRoute)
+		c.open("a1", 0)
+		c.establish("a1")
+		if n%20 == 0 {
+			f.step(25 * time.Millisecond)
+		}
+	}
+	f.step(300 * time.Millisecond)
+	require.Greater(t, f.hosts["a2"].steerer.Snapshot().Demand, ledgerSlots/2.0)
+}
+
+// Symptom: hosts keep services for ever that a broken report has named. Cause: words on
+// services that nobody lists.
+func TestDemandForUnknownServicesIsLeftOut(t *testing.T) {
+	f := calmPair(t)
+	before := f.hosts["a1"].steerer.Snapshot().Demand
+	report := &messenger.Report{AvailabilityZone: "a", Demands: []messenger.ServiceDemand{{Service: "nobody", Asked: urgentCrowd()[0].Asked}}}
+	tell(f, "a2", report)
+	require.InDelta(t, before, f.hosts["a1"].steerer.Snapshot().Demand, 1)
+}
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -33,8 +33,10 @@
 	TargetMalformed
 	// RequestPaced counts requests that had to wait at this host.
 	RequestPaced
-	// RefusedNoRoom counts those of the refused flows for which there was no room.
+	// RefusedNoRoom counts those of the refused flows for which there was no room,
+	// RefusedOverload those that would have waited behind others at this host.
 	RefusedNoRoom
+	RefusedOverload
 	// DropStale counts packets that came while this host stood still.
 	DropStale
 	numCounts
@@ -43,7 +45,7 @@
 func (c Count) String() string {
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
-		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "refusedNoRoom", "dropStale",
+		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "refusedNoRoom", "refusedOverload", "dropStale",
 	}[c]
 }
 
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -50,9 +50,11 @@
 		s.refuseWithoutTarget(p, c)
 		return
 	}
-	if f == nil && !s.admitsFlow(route, service) {
-		s.refuseForRoom(p, route, service)
-		return
+	if f == nil {
+		if why := s.refuses(route, service); why != notRefused {
+			s.refuseForRoom(p, route, service, why)
+			return
+		}
 	}
 	if f == nil || f.target != to {
 		s.notePlaced(to)
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -158,7 +158,7 @@
 without "repeats that wait, too" steerer/steering.go 'if f.paced != nil && s.pacedPacket(f, p) {' 'if false {' TestRepeatsOfAPacedRequestAreNotPassedOn
 without "the end of a request whose caller has gone" steerer/flow.go 'func (s *Steerer) close(f *flow) {
 	s.dropPaced(f)' 'func (s *Steerer) close(f *flow) {' TestPacedRequestOfACallerThatHasGoneIsDropped
-without "refusals while others wait" steerer/pacing.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
+without "refusals while others wait" steerer/admitting.go 'return v.load.Pressed() && v.paced > 0' 'return false' TestNewFeedIsRefusedWhileOthersWait
 without "what waits at a host that leaves" steerer/leaving.go 's.passAllPaced(t, "leaving")' '_ = t' TestLeavingHostPassesOnWhatWaits
 without "resets of what waits for a silent target" steerer/health.go '!f.waiting && f.paced == nil' '!f.waiting' TestPacedRequestOfASilentTargetIsReset
 without "resets of what waits for a removed route" steerer/pacing.go 'if s.removed[r.key.service] {' 'if false {' TestPacedRequestOfARemovedRouteIsReset
@@ -226,5 +226,18 @@
 without "the turn of those that will be late" pacer/line.go 'if r.turnDeadline.Passed(now) {' 'if false {' TestWaitIsBounded
 without "the end of pacing" pacer/pacer.go '(before && l.pressure > calmBelow)' 'before' TestUsualLoadDoesNotWait
 
+package=admitter
+without "repeats told from first tries" admitter/admitter.go 'asked.New[i] /= triesAt(a.inForce[i])' 'asked.New[i] /= 1 + 0*triesAt(a.inForce[i])' TestRepeatsOfRefusedCallersAreNoDemand
+without "answers that overrule the estimate" admitter/admitter.go 'a.wait >= idleWait && a.demand' 'a.demand' TestIdleTargetsLetAnybodyIn
+without "the order of priorities" admitter/admitter.go 'room -= demand.New[i]' '_ = room' 'TestSharesFitIntoTheRoom|TestCrowdAfterLossServesUrgentCallersAndFillsTheRoom'
+without "the correction of the room" admitter/admitter.go 'a.correction = min(max(next, leastCorrection), mostCorrection)' '_ = next' TestWaitsCorrectTheRoom
+without "the mean over the hosts of a zone" admitter/admitter.go 'sum.Times(float64(max(a.view.ZoneHosts, count)) / float64(count))' 'sum.Times(1)' TestLargeFleetNeedsToHearOfFewHosts
+
+package=steerer
+without "refusals when nothing is left" steerer/admitting.go 'case a.Known() && a.Share(route.Priority) <= 0' 'case false' TestNothingLeftForReadsRefusesThemAtOnce
+without "the own window of hosts out of touch" steerer/admitting.go 'InTouch: heard}' 'InTouch: heard || true}' TestHostOutOfTouchGoesByItsOwnWindow
+without "demand of other zones" steerer/admitting.go 's.service(told.Service).room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
+without "demand in reports" steerer/admitting.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
