--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -62,7 +62,7 @@
 	s.assess(v)
 	a := v.room.admitter
 	a.AskedNew(route.Priority, s.work(route, v), s.now)
-	fits := a.Share(route.Priority) >= 1
+	fits := a.Known() && a.Share(route.Priority) >= 1
 	switch {
 	case !route.Kind.repeatable():
 		if a.Known() && a.Crowded() && !a.Admit(route.Priority) {
@@ -70,7 +70,7 @@
 		}
 	case a.Known() && a.Share(route.Priority) <= 0:
 		return refusedNoRoom // Higher priorities need all of it.
-	case a.Known() && fits && s.wouldBeLate(v), !(a.Known() && fits) && s.wouldWait(v):
+	case fits && s.wouldBeLate(v), !fits && s.wouldWait(v):
 		return refusedOverload
 	}
 	return notRefused
@@ -118,6 +118,7 @@
 		priority = 0 // It can't be held here either.
 	}
 	v.room.admitter.AskedOpen(priority, s.work(f.route, v), s.now)
+	s.assess(v)
 }
 
 // noteOpeningTime takes in how long a flow took to open.
@@ -179,8 +180,8 @@
 	}
 	v.room.assessDeadline = s.now.Add(assessEvery)
 	a := v.room.admitter
-	living, heard := s.ownZoneHosts()
-	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + living, InTouch: heard}
+	reach := s.look()
+	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.heard}
 	if !a.Assess(s.now, view) {
 		return
 	}
@@ -192,10 +193,13 @@
 		field("demand", slotsText(a.Demand().Total())), field("wait", fmt.Sprintf("%.2f", a.Wait())), field("zoneHosts", itoa(view.ZoneHosts)))
 }
 
-// assessTick brings the views of all services up to date that somebody asks for.
+// assessTick brings the views of services up to date that may run short; those of others
+// follow what is asked and told.
 func (s *Steerer) assessTick() {
 	for _, name := range s.askedServices() {
-		s.assess(s.services[name])
+		if v := s.services[name]; v.room.admitter.Tells() || v.room.admitter.Short() {
+			s.assess(v)
+		}
 	}
 }
 
@@ -215,16 +219,11 @@
 func (s *Steerer) roomOf(service string) float64 {
 	sum := 0.0
 	views := s.views(&choice{service: service})
-	var unheard uint64
-	for i, zone := range s.targets.zones {
-		if s.zoneUnheard(zone) {
-			unheard |= 1 << min(i, 63)
-		}
-	}
+	reach := s.look()
 	for _, t := range s.targets.byService[service] {
 		zone := &views[t.zone]
 		lost := t.health.unreachable() || t.health.suspect || t.toldSilent(s.now)
-		if t.Draining || s.gone(t) || lost || zone.evacuated || zone.doubted || unheard&(1<<min(t.zone, 63)) != 0 {
+		if t.Draining || s.gone(t) || lost || zone.evacuated || zone.doubted || reach.unheard(t.AvailabilityZone) {
 			continue
 		}
 		speed := 1 / s.slowness(t)
@@ -236,37 +235,43 @@
 	return sum
 }
 
-// ownZoneHosts counts the other hosts of the own zone that live as far as anybody says,
-// and reports whether any of them has reported of late.
-func (s *Steerer) ownZoneHosts() (living int, heard bool) {
-	silence := s.mentionSilence()
-	for _, p := range s.peers.ordered() {
-		if p.zone != s.config.AvailabilityZone || !p.mentioned(s.now, silence) {
-			continue
-		}
-		living++
-		heard = heard || p.hears(s.now)
-	}
-	return living, heard
+// reach is which hosts and zones are heard from. All services share it: looking at each
+// host for each of them would cost most of what admission costs.
+type reach struct {
+	deadline timekeeper.Instant
+	// living counts the other hosts of the own zone that live as far as anybody says, heard
+	// says that one of them has reported of late.
+	living int
+	heard  bool
+	// known are the other zones of which a host has ever been heard, fresh those of which
+	// one has been of late.
+	known map[string]bool
+	fresh map[string]bool
 }
 
-// zoneUnheard reports whether another zone has hosts and none has been heard of late: what
-// is asked there is not known, and its targets may be out of reach.
-func (s *Steerer) zoneUnheard(zone string) bool {
-	if zone == s.config.AvailabilityZone {
-		return false
+// unheard reports whether another zone has hosts and none has been heard of late: what is
+// asked there is not known, and its targets may be out of reach.
+func (r *reach) unheard(zone string) bool { return r.known[zone] && !r.fresh[zone] }
+
+// look brings up to date which hosts and zones are heard from.
+func (s *Steerer) look() *reach {
+	r := &s.reach
+	if !r.deadline.Passed(s.now) {
+		return r
 	}
-	known := false
+	*r = reach{deadline: s.now.Add(assessEvery), known: map[string]bool{}, fresh: map[string]bool{}}
+	silence := s.mentionSilence()
 	for _, p := range s.peers.ordered() {
-		if p.zone != zone || p.heard == 0 {
-			continue
-		}
-		if s.now.Since(p.heard) < zoneHostMemory {
-			return false
+		switch {
+		case p.zone != s.config.AvailabilityZone:
+			r.known[p.zone] = r.known[p.zone] || p.heard != 0
+			r.fresh[p.zone] = r.fresh[p.zone] || (p.heard != 0 && s.now.Since(p.heard) < zoneHostMemory)
+		case p.mentioned(s.now, silence):
+			r.living++
+			r.heard = r.heard || p.hears(s.now)
 		}
-		known = true
 	}
-	return known
+	return r
 }
 
 // addRoom adds to a snapshot how full services are.
@@ -274,7 +279,7 @@
 	fullest := 0.0
 	for _, v := range s.services {
 		a := v.room.admitter
-		if a.Short() {
+		if s.short(v.name) {
 			snapshot.Short++
 		}
 		demand, room := a.Demand().Total(), a.Room()
@@ -336,17 +341,21 @@
 // takeDemands takes in what a report tells of demand. Services that nobody lists are left
 // out, so that no word makes this host keep them.
 func (s *Steerer) takeDemands(r *messenger.Report, from *peer) {
-	if from.zone == s.config.AvailabilityZone {
-		for _, told := range r.Demands {
-			if len(s.targets.byService[told.Service]) > 0 {
-				s.service(told.Service).room.admitter.TakeHost(from.name, demandOf(told), s.now)
-			}
-		}
-		return
+	near := from.zone == s.config.AvailabilityZone
+	all := r.ZoneDemands
+	if near {
+		all = r.Demands
 	}
-	for _, told := range r.ZoneDemands {
-		if len(s.targets.byService[told.Service]) > 0 {
-			s.service(told.Service).room.admitter.TakeZone(from.zone, demandOf(told), s.now)
+	for _, told := range all {
+		if len(s.targets.byService[told.Service]) == 0 {
+			continue
+		}
+		v := s.service(told.Service)
+		if near {
+			v.room.admitter.TakeHost(from.name, demandOf(told), s.now)
+		} else {
+			v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)
 		}
+		s.assess(v)
 	}
 }
--- a/core/steerer/admitting_test.go
+++ b/core/steerer/admitting_test.go
@@ -55,9 +55,9 @@
 func lastRefusal(f *fleet) string {
 	var last string
 	for _, l := range f.hosts["a1"].logs {
-		if l.Line.Event == "flowRefused" {
+		if l.Event == "flowRefused" {
 			var fields []string
-			for _, one := range l.Line.Fields {
+			for _, one := range l.Fields {
 				fields = append(fields, one.Key+"="+one.Value)
 			}
 			last = strings.Join(fields, " ")
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -113,6 +113,7 @@
 	// services holds the load of each service, paced counts the requests that wait at
 	// this host, and underWay lists those that were passed on, the oldest first.
 	services map[string]*service
+	reach    reach
 	paced    int
 	underWay flowChecks
 	leaving  leaving
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -235,8 +235,8 @@
 
 package=steerer
 without "refusals when nothing is left" steerer/admitting.go 'case a.Known() && a.Share(route.Priority) <= 0' 'case false' TestNothingLeftForReadsRefusesThemAtOnce
-without "the own window of hosts out of touch" steerer/admitting.go 'InTouch: heard}' 'InTouch: heard || true}' TestHostOutOfTouchGoesByItsOwnWindow
-without "demand of other zones" steerer/admitting.go 's.service(told.Service).room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
+without "the own window of hosts out of touch" steerer/admitting.go 'InTouch: reach.heard}' 'InTouch: true}' TestHostOutOfTouchGoesByItsOwnWindow
+without "demand of other zones" steerer/admitting.go 'v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
 without "demand in reports" steerer/admitting.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
 
 echo "$passed passed, $failed failed"
