--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -14,14 +14,8 @@
 	// assessEvery is how old the view of a service's room may be. Reports change it about
 	// as often.
 	assessEvery = 50 * time.Millisecond
-	// workSamples is how many answers of a route are needed to know how long work takes.
-	// The mean over hosts evens out what each is off.
-	workSamples = 8
-	// workStep is the part of each answer in the mean time of work once many have come,
-	// busyWorkStep while targets are busy. mostWork times the mean bounds what one counts.
-	workStep     = 0.005
-	busyWorkStep = workStep / 10
-	mostWork     = 4
+	// lineShare is the part of a host's window that may wait while the fleet has room.
+	lineShare = 0.25
 	// maxDemands bounds the services of a report.
 	maxDemands = 8
 	// zoneHostMemory is how long a report of any host of another zone shows that the
@@ -36,8 +30,9 @@
 	assessDeadline timekeeper.Instant
 	// opening is the usual time until a flow opens: what answers take besides work.
 	opening usualTime
-	// work holds the mean time of work, by route.
-	work map[string]*workTime
+	// work holds the usual time of work, by route: the median, with what requests wait on
+	// calm days, is close to the mean of the work alone.
+	work map[string]*usualTime
 }
 
 // short reports whether a service is asked for more than it has room for.
@@ -46,12 +41,23 @@
 	return ok && v.room.admitter.Short()
 }
 
-// admitsFlow decides whether the request of a new flow gets in.
+// refusal is why a new flow doesn't get in.
+type refusal uint8
+
+const (
+	notRefused refusal = iota
+	// refusedNoRoom flows have no part in the room that all hosts share.
+	refusedNoRoom
+	// refusedOverload flows would wait behind others at this host.
+	refusedOverload
+)
+
+// refuses decides whether the request of a new flow has to be refused.
 //
 // What goes wrong if all get in: their callers wait for answers that can't be in time, and
 // take the places of those that can. Nothing has run, so who doesn't get in is told at
 // once. A host that hears no other goes by what waits at itself.
-func (s *Steerer) admitsFlow(route Route, service string) bool {
+func (s *Steerer) refuses(route Route, service string) refusal {
 	v := s.service(service)
 	s.assess(v)
 	a := v.room.admitter
@@ -59,12 +65,15 @@
 	fits := a.Known() && a.Share(route.Priority) >= 1
 	switch {
 	case !route.Kind.repeatable():
-		return !a.Known() || a.Admit(route.Priority)
-	case fits:
-		return !s.wouldBeLate(v)
-	default:
-		return !s.wouldWait(v)
+		if a.Known() && a.Crowded() && !a.Admit(route.Priority) {
+			return refusedNoRoom
+		}
+	case a.Known() && a.Share(route.Priority) <= 0:
+		return refusedNoRoom // Higher priorities need all of it.
+	case fits && s.wouldBeLate(v), !fits && s.wouldWait(v):
+		return refusedOverload
 	}
+	return notRefused
 }
 
 // wouldWait reports whether the request of a new flow would wait behind others that wait
@@ -72,20 +81,26 @@
 func (s *Steerer) wouldWait(v *service) bool { return v.load.Pressed() && v.paced > 0 }
 
 // wouldBeLate reports whether so many requests wait at this host that another would wait
-// for more than one answer. While the fleet has room, a few that wait are the unevenness
+// for a good part of the time that answers take. While the fleet has room, a few that wait are the unevenness
 // of the moment, and no ground to refuse anybody.
 func (s *Steerer) wouldBeLate(v *service) bool {
-	return v.load.Pressed() && float64(v.paced) >= v.load.Window()
+	return v.load.Pressed() && float64(v.paced) >= lineShare*v.load.Window()
 }
 
 // refuseForRoom refuses a new flow for which there is no room, and says what is believed
 // of it.
-func (s *Steerer) refuseForRoom(p *Packet, route Route, service string) {
-	a := s.service(service).room.admitter
+func (s *Steerer) refuseForRoom(p *Packet, route Route, service string, why refusal) {
+	v := s.service(service)
+	a := v.room.admitter
+	if why == refusedOverload {
+		s.counts.add(RefusedOverload)
+		s.refuse(p, "overload", field("route", route.Name), field("service", service), field("waiting", itoa(v.paced)))
+		return
+	}
 	s.counts.add(RefusedNoRoom)
 	s.refuse(p, "noRoom", field("route", route.Name), field("service", service), field("priority", itoa(route.Priority)),
 		field("zone", s.config.AvailabilityZone), field("room", slotsText(a.Room())), field("demand", slotsText(a.Demand().Total())),
-		field("share", fmt.Sprintf("%.2f", a.Share(route.Priority))), field("known", fmt.Sprint(a.Known())))
+		field("share", fmt.Sprintf("%.2f", a.Share(route.Priority))), field("demandAgeMillis", millis(a.Age(s.now))))
 }
 
 func slotsText(slots float64) string { return fmt.Sprintf("%.1f", slots) }
@@ -103,6 +118,7 @@
 		priority = 0 // It can't be held here either.
 	}
 	v.room.admitter.AskedOpen(priority, s.work(f.route, v), s.now)
+	s.assess(v)
 }
 
 // noteOpeningTime takes in how long a flow took to open.
@@ -116,10 +132,10 @@
 // What an answer takes on its way is what a flow takes to open.
 func (s *Steerer) work(route Route, v *service) time.Duration {
 	w, ok := v.room.work[route.Name]
-	if !ok || !w.known() || route.LatencyObjective <= w.mean {
+	if !ok || !w.known() || route.LatencyObjective <= w.median {
 		return 0
 	}
-	return w.mean
+	return w.median
 }
 
 // learnRoom learns from an answer how long requests wait at a service.
@@ -151,35 +167,12 @@
 func (r *room) learnWork(route string, took time.Duration) {
 	w, ok := r.work[route]
 	if !ok {
-		w = &workTime{}
+		w = &usualTime{}
 		r.work[route] = w
 	}
 	w.add(max(took-r.opening.median, shortestUsual), r.admitter.Tells() || r.admitter.Waits())
 }
 
-// workTime is the mean time that targets work on requests of a route.
-type workTime struct {
-	mean    time.Duration
-	samples int
-}
-
-// known reports whether enough answers have come.
-func (w *workTime) known() bool { return w.samples >= workSamples }
-
-// add takes in the time of an answer. One that came while targets were busy includes
-// waiting: it counts little, but not nothing, since work may have become longer for good.
-func (w *workTime) add(took time.Duration, busy bool) {
-	w.samples++
-	step := max(workStep, 1/float64(w.samples))
-	if busy && w.known() {
-		step = busyWorkStep
-	}
-	if w.samples > 1 {
-		took = min(took, mostWork*w.mean)
-	}
-	w.mean += time.Duration(step * float64(took-w.mean))
-}
-
 // assess brings the view of a service's room up to date.
 func (s *Steerer) assess(v *service) {
 	if !v.room.assessDeadline.Passed(s.now) {
@@ -187,12 +180,12 @@
 	}
 	v.room.assessDeadline = s.now.Add(assessEvery)
 	a := v.room.admitter
-	living, heard := s.ownZoneHosts()
-	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + living, InTouch: heard}
+	reach := s.look()
+	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.heard}
 	if !a.Assess(s.now, view) {
 		return
 	}
-	event := "serviceCalm"
+	event := "serviceFits"
 	if a.Short() {
 		event = "serviceShort"
 	}
@@ -200,10 +193,13 @@
 		field("demand", slotsText(a.Demand().Total())), field("wait", fmt.Sprintf("%.2f", a.Wait())), field("zoneHosts", itoa(view.ZoneHosts)))
 }
 
-// assessTick brings the views of all services up to date that somebody asks for.
+// assessTick brings the views of services up to date that may run short; those of others
+// follow what is asked and told.
 func (s *Steerer) assessTick() {
 	for _, name := range s.askedServices() {
-		s.assess(s.services[name])
+		if v := s.services[name]; v.room.admitter.Tells() || v.room.admitter.Short() {
+			s.assess(v)
+		}
 	}
 }
 
@@ -223,16 +219,11 @@
 func (s *Steerer) roomOf(service string) float64 {
 	sum := 0.0
 	views := s.views(&choice{service: service})
-	var unheard uint64
-	for i, zone := range s.targets.zones {
-		if s.zoneUnheard(zone) {
-			unheard |= 1 << min(i, 63)
-		}
-	}
+	reach := s.look()
 	for _, t := range s.targets.byService[service] {
 		zone := &views[t.zone]
 		lost := t.health.unreachable() || t.health.suspect || t.toldSilent(s.now)
-		if t.Draining || s.gone(t) || lost || zone.evacuated || zone.doubted || unheard&(1<<min(t.zone, 63)) != 0 {
+		if t.Draining || s.gone(t) || lost || zone.evacuated || zone.doubted || reach.unheard(t.AvailabilityZone) {
 			continue
 		}
 		speed := 1 / s.slowness(t)
@@ -244,37 +235,43 @@
 	return sum
 }
 
-// ownZoneHosts counts the other hosts of the own zone that live as far as anybody says,
-// and reports whether any of them has reported of late.
-func (s *Steerer) ownZoneHosts() (living int, heard bool) {
-	silence := s.mentionSilence()
-	for _, p := range s.peers.ordered() {
-		if p.zone != s.config.AvailabilityZone || !p.mentioned(s.now, silence) {
-			continue
-		}
-		living++
-		heard = heard || p.hears(s.now)
-	}
-	return living, heard
+// reach is which hosts and zones are heard from. All services share it: looking at each
+// host for each of them would cost most of what admission costs.
+type reach struct {
+	deadline timekeeper.Instant
+	// living counts the other hosts of the own zone that live as far as anybody says, heard
+	// says that one of them has reported of late.
+	living int
+	heard  bool
+	// known are the other zones of which a host has ever been heard, fresh those of which
+	// one has been of late.
+	known map[string]bool
+	fresh map[string]bool
 }
 
-// zoneUnheard reports whether another zone has hosts and none has been heard of late: what
-// is asked there is not known, and its targets may be out of reach.
-func (s *Steerer) zoneUnheard(zone string) bool {
-	if zone == s.config.AvailabilityZone {
-		return false
+// unheard reports whether another zone has hosts and none has been heard of late: what is
+// asked there is not known, and its targets may be out of reach.
+func (r *reach) unheard(zone string) bool { return r.known[zone] && !r.fresh[zone] }
+
+// look brings up to date which hosts and zones are heard from.
+func (s *Steerer) look() *reach {
+	r := &s.reach
+	if !r.deadline.Passed(s.now) {
+		return r
 	}
-	known := false
+	*r = reach{deadline: s.now.Add(assessEvery), known: map[string]bool{}, fresh: map[string]bool{}}
+	silence := s.mentionSilence()
 	for _, p := range s.peers.ordered() {
-		if p.zone != zone || p.heard == 0 {
-			continue
-		}
-		if s.now.Since(p.heard) < zoneHostMemory {
-			return false
+		switch {
+		case p.zone != s.config.AvailabilityZone:
+			r.known[p.zone] = r.known[p.zone] || p.heard != 0
+			r.fresh[p.zone] = r.fresh[p.zone] || (p.heard != 0 && s.now.Since(p.heard) < zoneHostMemory)
+		case p.mentioned(s.now, silence):
+			r.living++
+			r.heard = r.heard || p.hears(s.now)
 		}
-		known = true
 	}
-	return known
+	return r
 }
 
 // addRoom adds to a snapshot how full services are.
@@ -282,7 +279,7 @@
 	fullest := 0.0
 	for _, v := range s.services {
 		a := v.room.admitter
-		if a.Short() {
+		if s.short(v.name) {
 			snapshot.Short++
 		}
 		demand, room := a.Demand().Total(), a.Room()
@@ -344,17 +341,21 @@
 // takeDemands takes in what a report tells of demand. Services that nobody lists are left
 // out, so that no word makes this host keep them.
 func (s *Steerer) takeDemands(r *messenger.Report, from *peer) {
-	if from.zone == s.config.AvailabilityZone {
-		for _, told := range r.Demands {
-			if len(s.targets.byService[told.Service]) > 0 {
-				s.service(told.Service).room.admitter.TakeHost(from.name, demandOf(told), s.now)
-			}
-		}
-		return
+	near := from.zone == s.config.AvailabilityZone
+	all := r.ZoneDemands
+	if near {
+		all = r.Demands
 	}
-	for _, told := range r.ZoneDemands {
-		if len(s.targets.byService[told.Service]) > 0 {
-			s.service(told.Service).room.admitter.TakeZone(from.zone, demandOf(told), s.now)
+	for _, told := range all {
+		if len(s.targets.byService[told.Service]) == 0 {
+			continue
+		}
+		v := s.service(told.Service)
+		if near {
+			v.room.admitter.TakeHost(from.name, demandOf(told), s.now)
+		} else {
+			v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)
 		}
+		s.assess(v)
 	}
 }
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -33,12 +33,14 @@
 	TargetMalformed
 	// RequestPaced counts requests that had to wait at this host.
 	RequestPaced
-	// RefusedNoRoom counts those of the refused flows for which there was no room.
+	// RefusedNoRoom counts those of the refused flows for which there was no room,
+	// RefusedOverload those that would have waited behind others at this host.
 	RefusedNoRoom
 	// RefusedFull counts flows that were refused because all targets are full, SentOn those
 	// that this host sent on because a target did not take them.
 	RefusedFull
 	SentOn
+	RefusedOverload
 	// DropStale counts packets that came while this host stood still.
 	DropStale
 	// StoreRestored counts restores of the platform's store that this host has learned of.
@@ -69,6 +71,7 @@
 	RefusedNoRoom:   "refusedNoRoom",
 	RefusedFull:     "refusedFull",
 	SentOn:          "sentOn",
+	RefusedOverload: "refusedOverload",
 	DropStale:       "dropStale",
 	StoreRestored:   "storeRestored",
 	TargetSlow:      "targetSlow",
