--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -46,6 +46,8 @@
 	// Reserved is how many of them are kept for others than the flow that asks: liveness
 	// checks, and flows of higher priority.
 	Reserved int
+	// Brief says that the flow leaves its place so soon that it need not wait for a turn.
+	Brief bool
 }
 
 // Guess is what stands for flows at a target of which nobody tells.
@@ -331,7 +333,7 @@
 	switch {
 	case room == 0:
 		return false
-	case room >= hosts, t.freed > 0 && now.Since(t.freedAt) < turnSpan:
+	case b.Brief, room >= hosts, t.freed > 0 && now.Since(t.freedAt) < turnSpan:
 		return true
 	case turnOf(t.placedAt) == turnOf(now):
 		return false
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -127,6 +127,32 @@
 	require.Equal(t, limiter.Belief{Own: 2, Told: 1, Estimated: 5}, l.Belief(one, 40, guess, start.Add(idle)))
 }
 
+// Load: flows that end within milliseconds, at a target that has one place left. They do
+// not wait until it is the host's turn.
+func TestBriefFlowsTakeNoTurns(t *testing.T) {
+	l := limiter.New("a0", start, idle)
+	l.SetNear(50)
+	one := l.Target(1)
+	bound := limiter.Bound{Flows: 5, Brief: true}
+	for range 4 {
+		one.Seen()
+	}
+	lasting, brief := 0, 0
+	for n := range 100 {
+		now := start.Add(time.Duration(n) * time.Second)
+		if l.Admits(one, 1, limiter.Bound{Flows: 5}, limiter.Guess{}, now) {
+			lasting++
+		}
+		if l.Admits(one, 1, bound, limiter.Guess{}, now) {
+			brief++
+		}
+	}
+	require.Equal(t, 100, brief)
+	require.Less(t, lasting, 10, "one host of 51 has its turn")
+	one.Placed(start)
+	require.False(t, l.Admits(one, 1, bound, limiter.Guess{}, start))
+}
+
 // world is a zone's hosts before some targets that hold a bounded number of flows. A
 // message may be lost, a host may start again, and a target that is full says nothing.
 type world struct {
--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -27,9 +27,11 @@
 	// reservedShare of a target's places is kept from each class of flows for those of
 	// higher priority: as many as come while a host's news is on its way.
 	reservedShare = 0.05
-	// briefShare is the part of the flows placed of late that a route's open flows are at most
-	// if they are brief: they leave their places soon after they took them.
-	briefShare = 0.1
+	// briefSpan is within what time of its opening packet a brief flow leaves its place: that
+	// of a request or two, and far less than flows idle.
+	briefSpan = 2 * time.Second
+	// briefShare is the part of a route's flows that have to be brief for all to count so.
+	briefShare = 0.5
 	// manyBriefShare is the part of the flows asked for beyond which places are reserved for
 	// brief ones. useMemory is what is left of what was asked for and placed at each look:
 	// that of some seconds.
@@ -75,9 +77,11 @@
 	priority int
 	// held counts their flows that hold places.
 	held int
-	// asked counts the flows that they have asked for of late, placed those that were placed.
+	// asked counts the flows that they have asked for of late, opened those that opened, and
+	// left those of them that left their places within briefSpan.
 	asked  float64
-	placed float64
+	opened float64
+	left   float64
 }
 
 // tightService is a service whose targets may run out of connections.
@@ -134,7 +138,11 @@
 	}
 	f.place.Ended(s.now)
 	f.place = nil
-	s.use(f.target.Service, &f.route).held--
+	use := s.use(f.target.Service, &f.route)
+	use.held--
+	if f.opened && s.now.Since(f.openedAt) < briefSpan {
+		use.left++
+	}
 }
 
 func (s *Steerer) use(service string, route *Route) *routeUse {
@@ -160,7 +168,7 @@
 // checks, since both leave it at once.
 func (v *tightService) boundFor(route *Route) limiter.Bound {
 	if v.brief[route.Name] {
-		return limiter.Bound{Flows: v.bound}
+		return limiter.Bound{Flows: v.bound, Brief: true}
 	}
 	rank := 0
 	if v.manyBrief {
@@ -369,19 +377,24 @@
 		}
 		asked += use.asked
 		switch {
-		case float64(use.held) < briefShare*use.placed:
+		case use.brief():
 			v.brief[route] = true
 			brief += use.asked
 		case !slices.Contains(v.priorities, use.priority):
 			v.priorities = append(v.priorities, use.priority)
 		}
 		use.asked *= useMemory
-		use.placed *= useMemory
+		use.opened *= useMemory
+		use.left *= useMemory
 	}
 	slices.Sort(v.priorities)
 	v.manyBrief = brief > manyBriefShare*asked
 }
 
+// brief reports whether most of a route's flows leave their places soon. It stays true while
+// none opens: what they did fades alike.
+func (u *routeUse) brief() bool { return u.left > briefShare*u.opened }
+
 // idle reports whether a route's callers have not used a service of late.
 func (u *routeUse) idle() bool { return u.held == 0 && u.asked < 1 }
 
--- a/core/steerer/connections_test.go
+++ b/core/steerer/connections_test.go
@@ -35,13 +35,18 @@
 
 // newShop starts hosts before the usual six targets of the ledger, three zones or fewer.
 func newShop(t tester, bound int, hostsByZone ...int) *shop {
-	f := newFleet(t, hostsByZone...)
+	s := &shop{fleet: newFleet(t, hostsByZone...), held: map[string]int{}}
+	s.publish(2, bound)
+	return s
+}
+
+// publish changes how many flows a target holds. Checks go before reads.
+func (s *shop) publish(version uint64, bound int) {
+	s.bound = bound
 	routes := routes()
-	routes[1].Priority = 0
 	routes[0].Priority = 1
-	f.settings = steerer.NewSettings(2, routes, []steerer.Service{{Name: "ledger", HealthPath: "/healthz", MaxConnections: bound}}, 15*time.Second)
-	f.step(4 * time.Second)
-	return &shop{fleet: f, bound: bound, held: map[string]int{}}
+	s.settings = steerer.NewSettings(version, routes, []steerer.Service{{Name: "ledger", HealthPath: "/healthz", MaxConnections: bound}}, 15*time.Second)
+	s.step(4 * time.Second)
 }
 
 // arrive lets a caller open a flow through a host, and repeat its opening packet once. It
@@ -380,3 +385,44 @@
 	require.Equal(t, 120, snapshot.ConnectionPlaces)
 	require.Positive(t, snapshot.Counts[steerer.RefusedFull])
 }
+
+// Load: flows that idle fill the targets; callers with short flows come all the while.
+// Symptom: the latter are refused for good. Cause: once none is placed nothing tells them
+// from those that last.
+func TestBriefFlowsFindRoomBesideThoseThatLast(t *testing.T) {
+	s := newShop(t, 20, 1)
+	brief, served := 0, 0
+	for n := range 200 {
+		s.arrive("a1", true)
+		brief++
+		if s.arrive("a1", false) {
+			served++
+			if n%7 == 0 {
+				s.step(2 * time.Second) // Some last somewhat longer.
+			}
+			s.leave(len(s.open)-1, false)
+		}
+		s.step(steerer.TickEvery)
+		if n%20 == 0 {
+			s.keepAlive()
+		}
+	}
+	require.Positive(t, s.refused, "all is asked for")
+	require.Equal(t, brief, served)
+
+	s.publish(3, 10)
+	for n := range 150 {
+		require.False(t, s.arrive("a1", false), "nothing is left")
+		s.step(4 * steerer.TickEvery)
+		if n%10 == 0 {
+			s.keepAlive()
+		}
+	}
+	for at := len(s.open) - 1; at >= 0; at-- {
+		if s.held[s.open[at].target] >= s.bound {
+			s.leave(at, false)
+		}
+	}
+	s.step(time.Second)
+	require.True(t, s.arrive("a1", false), "one place at each target is enough, however long they were refused")
+}
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -57,9 +57,6 @@
 		s.refuse(p, "overload", field("service", service), field("waiting", itoa(s.service(service).paced)))
 		return
 	}
-	if f == nil {
-		s.use(service, &route).placed++
-	}
 	if f == nil || f.target != to {
 		s.notePlaced(to)
 	}
@@ -168,6 +165,7 @@
 	f.opened = true
 	f.request = nil
 	s.takePlace(f)
+	s.use(to.Service, &f.route).opened++
 	s.noteOpened(f)
 	to.opening--
 	f.sentEnd = p.Sequence
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -231,11 +231,13 @@
 without "what a host told before it started again" limiter/limiter.go 'n := max(int(h.flows[tag]), l.left(int(h.former[tag]), h.formerSince, now))' 'n := int(h.flows[tag])' TestFlowsThatAHostHasForgottenCountOn
 without "flows unseen at full targets" limiter/limiter.go 't.unseen = max(bound-' 't.unseen = 0 * max(bound-' 'TestTargetThatIsFoundFullStaysSoUntilItsFlowsEnd|TestHostsThatDoNotHearEachOtherStayWithinTheBound'
 without "growth since others were heard" limiter/limiter.go '+ g.Growth*float64(l.tellers)' '+ 0*g.Growth' TestHerdIsTurnedAwayInTime
+without "turns at the last places" limiter/limiter.go 'return int(l.draw(tag, now)%uint64(hosts)) < room' 'return true || int(l.draw(tag, now)%uint64(hosts)) < room' TestBriefFlowsTakeNoTurns
 without "the end of hosts that are gone" limiter/limiter.go 'if now.Since(h.heard) > l.idle {' 'if false {' TestFlowsOfAHostThatIsGoneEnd
 
 package=steerer
 without "an even spread of connections" steerer/connections.go 'return connectionLoad * float64(flows)' 'return 0 * connectionLoad * float64(flows)' TestIdleTargetIsNotFilledWithFlows
 without "the bound of connections" steerer/connections.go 'if !l.Admits(' 'if false && !l.Admits(' TestFlowsBeyondAllPlacesAreRefusedAtOnce
+without "brief flows" steerer/connections.go 'if v.brief[route.Name] {' 'if false {' TestBriefFlowsFindRoomBesideThoseThatLast
 without "places for higher priority" steerer/connections.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
 without "places for checks" steerer/connections.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
 without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
