--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -59,9 +59,6 @@
 			return
 		}
 	}
-	if f == nil {
-		s.use(service, &route).placed++
-	}
 	if f == nil || f.target != to {
 		s.notePlaced(to)
 	}
@@ -170,6 +167,7 @@
 	f.opened = true
 	f.request = nil
 	s.takePlace(f)
+	s.use(to.Service, &f.route).opened++
 	s.noteOpened(f)
 	s.noteOpeningTime(f)
 	to.opening--
