Callers share a service that is short of room; quotas for prefixes and routes

Cause: all callers were one. Nothing kept what an address asks, so that one that repeats itself without pause took the room of all.

Change: package throttler keeps what callers ask, in bounded memory (golang-lru's 2Q), and refuses first who has had more than its weighted max-min share and asks for three times what the others do for their weight (callerShare). The weight is what was open in calm times, so an office behind one address is not one caller. Addresses that are new answer by their prefix. Quotas in a host's file, a part for each live host of the zone (callerQuota; x/time/rate), and spanctl quotas.

--- a/balancer/internal/configurer/flows.go
+++ b/balancer/internal/configurer/flows.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cranberryspan.dev/core/resolver"
+	"cranberryspan.dev/core/throttler"
 	"go.yaml.in/yaml/v3"
 )
 
@@ -42,6 +43,8 @@
 	ColdOverage   *float64 `yaml:"coldOverage"`
 	ColdAllowance *float64 `yaml:"coldAllowance"`
 	Forwarding    string   `yaml:"forwarding"`
+	// Quotas may be left out.
+	Quotas []throttler.QuotaText `yaml:"quotas"`
 }
 
 // FlowConfig is what a host that steers flows has to know before it can read the
@@ -85,6 +88,8 @@
 	// ColdAllowance more, is what it bears in any one second.
 	ColdOverage   float64
 	ColdAllowance float64
+	// Quotas bound the requests of some callers.
+	Quotas []throttler.Quota
 }
 
 // WithSeeds returns a copy with other seeds.
@@ -200,6 +205,11 @@
 		}
 		config.Seeds = append(config.Seeds, address)
 	}
+	quotas, err := throttler.ParseQuotas(t.Quotas)
+	if err != nil {
+		return FlowConfig{}, invalid("%w", err)
+	}
+	config.Quotas = quotas
 	for _, key := range t.PeerKeys {
 		config.PeerKeys = append(config.PeerKeys, resolver.Secret(key))
 	}
--- a/balancer/internal/configurer/flows_test.go
+++ b/balancer/internal/configurer/flows_test.go
@@ -1,12 +1,14 @@
 package configurer
 
 import (
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"cranberryspan.dev/core/throttler"
 	"github.com/stretchr/testify/require"
 )
 
@@ -53,8 +55,19 @@
 		{"settingsWithin: 3000ms", "settingsWithin: 3", `settingsWithin: "3" is no duration`},
 		{"10.0.0.2:7000", "b", `seeds: "b" is no address`},
 		{"name: a1", "title: a1", "title"},
+		{"name: a1", "name: a1\nquotas:\n- {prefix: here, requestsPerSecond: 1}", `quotas[0]: prefix: "here" is no prefix`},
+		{"name: a1", "name: a1\nquotas:\n- {route: read}", "requestsPerSecond: 0 is no rate above 0"},
 	} {
 		_, err := readFlows(t, strings.Replace(flowFile, fault.old, fault.changed, 1))
 		require.ErrorContains(t, err, fault.says)
 	}
 }
+
+func TestReadFlowFileTakesQuotas(t *testing.T) {
+	config, err := readFlows(t, flowFile+"quotas:\n- prefix: 203.0.113.0/24\n  requestsPerSecond: 50\n- route: read\n  requestsPerSecond: 200\n")
+	require.NoError(t, err)
+	require.Equal(t, []throttler.Quota{
+		{Prefix: netip.MustParsePrefix("203.0.113.0/24"), PerSecond: 50},
+		{Route: "read", PerSecond: 200},
+	}, config.Quotas)
+}
--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -103,6 +103,7 @@
 		Regions:            config.Regions,
 		ColdOverage:        config.ColdOverage,
 		ColdAllowance:      config.ColdAllowance,
+		Quotas:             config.Quotas,
 		MaxFlows:           int(float64(config.MemoryBytes) * flowShare / flowBytes),
 		LinkBytesPerSecond: config.LinkBytesPerSecond,
 		Start:              r.now(),
--- a/balancer/internal/flowrunner/metrics.go
+++ b/balancer/internal/flowrunner/metrics.go
@@ -64,6 +64,7 @@
 	e.Scope.Gauge("settings_age_seconds").Update(snapshot.SettingsAge.Seconds())
 	e.Scope.Gauge("targets_age_seconds").Update(snapshot.TargetsAge.Seconds())
 	e.Scope.Gauge("requests_paced").Update(float64(snapshot.Paced))
+	e.Scope.Gauge("callers_kept").Update(float64(snapshot.Callers))
 	e.Scope.Gauge("services_pressed").Update(float64(snapshot.Pressed))
 	e.Scope.Gauge("ready").Update(exporter.OneIf(snapshot.Ready))
 }
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -35,6 +35,10 @@
 	RequestPaced
 	// DropStale counts packets that came while this host stood still.
 	DropStale
+	// RefusedCallerShare and RefusedCallerQuota count those of the flows refused whose
+	// caller had more than its share of a service short of room, or had used up a quota.
+	RefusedCallerShare
+	RefusedCallerQuota
 	numCounts
 )
 
@@ -42,6 +46,7 @@
 	return [numCounts]string{
 		"dropUnknowing", "dropUnknownTag", "refused", "flowReset", "probeSent",
 		"notRemembered", "settingsReads", "targetsReads", "readsFailed", "reportsSent", "quickAnswer", "targetMalformed", "requestPaced", "dropStale",
+		"refusedCallerShare", "refusedCallerQuota",
 	}[c]
 }
 
@@ -73,6 +78,8 @@
 	// asked for more than their targets can do.
 	Paced   int
 	Pressed int
+	// Callers counts the addresses and prefixes of callers that are kept.
+	Callers int
 	Ready   bool
 }
 
@@ -83,6 +90,7 @@
 	snapshot.TargetsAge = age(s.now, s.reading.targets.confirmed)
 	snapshot.Ready = s.Ready()
 	snapshot.Paced = s.paced
+	snapshot.Callers = s.throttler.Kept()
 	snapshot.Evacuated = len(s.evacuator.Orders().Zones)
 	for _, v := range s.services {
 		if v.load.Pressed() {
--- a/core/steerer/fixture_test.go
+++ b/core/steerer/fixture_test.go
@@ -11,6 +11,7 @@
 
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/steerer"
+	"cranberryspan.dev/core/throttler"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/stretchr/testify/require"
 )
@@ -47,6 +48,8 @@
 	// evacuatedWithin and regions are what hosts that start are told.
 	evacuatedWithin time.Duration
 	regions         map[string]string
+	// quotas are what hosts that start are told.
+	quotas []throttler.Quota
 	// malformed are listed entries that name no target.
 	malformed []steerer.MalformedTarget
 	// down says that the platform answers nobody, turnedAway names hosts that it
@@ -242,7 +245,7 @@
 		Self: name, Address: h.address, AvailabilityZone: name[:1], Seeds: seeds,
 		Incarnation: h.starts, Seed: h.starts, MaxFlows: h.maxFlows, LinkBytesPerSecond: h.linkBytesPerSecond, Start: f.now,
 		SettingsWithin: cmp.Or(f.settingsWithin, 3*time.Second), DrainingWithin: 3 * time.Second,
-		EvacuatedWithin: f.evacuatedWithin, Regions: f.regions, ColdOverage: 1.5, ColdAllowance: 5,
+		EvacuatedWithin: f.evacuatedWithin, Regions: f.regions, ColdOverage: 1.5, ColdAllowance: 5, Quotas: f.quotas,
 	})
 	f.reduce(name, &steerer.Tick{})
 }
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -54,6 +54,10 @@
 	// bulkSpan is the last of the path's spans in which the flow sent much.
 	bulkSpan timekeeper.Instant
 	closed   bool
+	// counted says that the flow counts for its caller, asked that it has brought a
+	// request.
+	counted bool
+	asked   bool
 }
 
 // flowCheck looks at a flow again at a deadline, because of something that began at a
@@ -107,6 +111,7 @@
 	}
 	s.dropPaced(f)
 	s.setWaiting(f, false)
+	s.noteEnded(key, f)
 	f.target.flows--
 	if !f.opened {
 		f.target.opening--
@@ -114,9 +119,10 @@
 	delete(s.flows, key)
 }
 
-func (s *Steerer) close(f *flow) {
+func (s *Steerer) close(key flowKey, f *flow) {
 	s.dropPaced(f)
 	s.setWaiting(f, false)
+	s.noteEnded(key, f)
 	f.closed = true
 }
 
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -22,6 +22,7 @@
 	"cranberryspan.dev/core/diagnoser"
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/recorder"
+	"cranberryspan.dev/core/throttler"
 	"cranberryspan.dev/core/timekeeper"
 	"cranberryspan.dev/core/warmer"
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +59,8 @@
 	// they bear in any one second.
 	ColdOverage   float64
 	ColdAllowance float64
+	// Quotas bound the requests of some callers.
+	Quotas []throttler.Quota
 	// MaxFlows bounds the flows that are remembered.
 	MaxFlows int
 	// LinkBytesPerSecond is what the host's link carries each way; 0 if unknown.
@@ -84,6 +87,8 @@
 	warmer    *warmer.Warmer
 	// diagnoser says how long silence has to last, and which zones have fallen silent.
 	diagnoser *diagnoser.Diagnoser
+	// throttler keeps what callers ask, and their quotas.
+	throttler *throttler.Throttler
 
 	targets table
 	// targetsRevision is the newest revision of the platform that is reflected
@@ -141,6 +146,7 @@
 		evacuator: evacuator.New(),
 		warmer:    warmer.New(config.Self, config.Start),
 		diagnoser: diagnoser.New(),
+		throttler: throttler.New(config.Quotas),
 	}
 	s.pause.lastTick = config.Start
 	if config.FirstStart && !slices.Contains(config.Seeds, config.Address) {
@@ -192,6 +198,7 @@
 	s.expireFlows()
 	s.targetsTick()
 	s.peersTick()
+	s.shareQuotas()
 	s.readingTick()
 	s.askingTick()
 	s.leavingTick()
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -50,6 +50,9 @@
 		s.refuseWithoutTarget(p, c)
 		return
 	}
+	if f == nil && s.throttled(p, &route, service) {
+		return
+	}
 	if f == nil && s.wouldWait(route, to) {
 		s.refuse(p, "overload", field("service", service), field("waiting", itoa(s.service(service).paced)))
 		return
@@ -63,6 +66,7 @@
 			s.sendTarget(to, to.tag, p.Data)
 			return
 		}
+		s.notePassed(key, f)
 		s.watchOpening(key, to)
 	} else {
 		s.noteCopy(f, to)
@@ -145,7 +149,7 @@
 	}
 	s.sendTarget(to, 0, p.Data)
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagEnd) {
-		s.close(f)
+		s.close(key, f)
 	}
 }
 
@@ -198,6 +202,7 @@
 		return true
 	}
 	f.pacedFor = 0
+	s.chargeRequest(p, f)
 	s.beginRequest(key, f, p.Data)
 	return false
 }
--- /dev/null
+++ b/core/steerer/throttling.go
@@ -0,0 +1,76 @@
+package steerer
+
+import (
+	"fmt"
+
+	"cranberryspan.dev/core/throttler"
+)
+
+// shortOfRoom reports whether a service is asked for more than its targets can do.
+func (s *Steerer) shortOfRoom(service string) bool { return s.pressed(service) }
+
+// throttled refuses a new flow whose caller has used up a quota, or has had more than its
+// share of a service that is short of room. It reports whether it did.
+//
+// What goes wrong otherwise: one caller that repeats itself without pause takes the room
+// of all, since whoever asks most gets most. Nothing has run, so the caller is told at
+// once.
+func (s *Steerer) throttled(p *Packet, route *Route, service string) bool {
+	asked := throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}
+	if verdict := s.throttler.Ask(asked, s.now); verdict.Refused {
+		s.counts.add(RefusedCallerShare)
+		s.refuse(p, "callerShare", field("service", service), field("prefix", verdict.Prefix.String()),
+			field("share", perSecond(verdict.Had)), field("fairShare", perSecond(verdict.FairShare)))
+		return true
+	}
+	if quota, exceeded := s.throttler.Exceeded(p.Caller.Addr(), route.Name, s.now); exceeded {
+		s.counts.add(RefusedCallerQuota)
+		s.refuse(p, "callerQuota", field("quota", quota.String()), field("requestsPerSecond", perSecond(quota.PerSecond)))
+		return true
+	}
+	return false
+}
+
+// perSecond writes a rate for logs.
+func perSecond(rate float64) string { return fmt.Sprintf("%.1f", rate) }
+
+// notePassed counts a new flow for its caller.
+func (s *Steerer) notePassed(key flowKey, f *flow) {
+	f.counted = true
+	s.throttler.Charge(key.caller.Addr(), f.route.Name, s.now)
+	s.throttler.Pass(throttler.Request{Caller: key.caller.Addr(), Service: f.target.Service}, s.now)
+}
+
+// noteEnded takes the flow back, once.
+func (s *Steerer) noteEnded(key flowKey, f *flow) {
+	if !f.counted {
+		return
+	}
+	f.counted = false
+	s.throttler.End(throttler.Request{Caller: key.caller.Addr(), Service: f.target.Service}, s.now)
+}
+
+// chargeRequest counts a request of an open flow for its caller's quotas. The first was
+// counted with the flow.
+func (s *Steerer) chargeRequest(p *Packet, f *flow) {
+	if f.asked {
+		s.throttler.Charge(p.Caller.Addr(), f.route.Name, s.now)
+	}
+	f.asked = true
+}
+
+// shareQuotas divides the quotas by the live hosts of this host's zone, over which the
+// fabric spreads each caller's flows evenly.
+func (s *Steerer) shareQuotas() {
+	if !s.throttler.HasQuotas() {
+		return
+	}
+	hosts := 1
+	silence := s.mentionSilence()
+	for _, p := range s.peers.ordered() {
+		if p.zone == s.config.AvailabilityZone && p.mentioned(s.now, silence) {
+			hosts++
+		}
+	}
+	s.throttler.ShareQuotas(hosts, s.now)
+}
--- /dev/null
+++ b/core/steerer/throttling_test.go
@@ -0,0 +1,140 @@
+package steerer_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/steerer"
+	"cranberryspan.dev/core/throttler"
+	"github.com/stretchr/testify/require"
+)
+
+// portOf is a caller behind an address that many may share.
+func portOf(f *fleet, address string, port int, route netip.AddrPort) *caller {
+	c := f.caller(0, route)
+	c.address = netip.AddrPortFrom(netip.MustParseAddr(address), uint16(port))
+	return c
+}
+
+// refusals counts the flows that a host refused for a reason, by the caller's address.
+func refusals(h *host, reason string) map[string]int {
+	counts := map[string]int{}
+	for _, line := range h.logs {
+		if line.Event != "flowRefused" {
+			continue
+		}
+		fields := map[string]string{}
+		for _, field := range line.Fields {
+			fields[field.Key] = field.Value
+		}
+		if fields["reason"] == reason {
+			counts[netip.MustParseAddrPort(fields["flow"]).Addr().String()]++
+		}
+	}
+	return counts
+}
+
+// Symptom: when a service is short of room all callers are refused for one. Sequence: the
+// service is pressed; one address opens a flow each 10 ms, each from another port, while
+// feeds of others are refused. Cause: a host that sees requests, and not callers.
+func TestCallerThatRepeatsWithoutPauseIsRefusedFirst(t *testing.T) {
+	f, _, _ := waitingFeed(t)
+	h := f.hosts["a1"]
+	for n := range 100 {
+		f.runUntil(f.now.Add(10 * time.Millisecond))
+		f.now = f.now.Add(10 * time.Millisecond)
+		portOf(f, "203.0.113.9", 1000+n, checkRoute).open("a1", 0)
+		if n%5 == 0 {
+			portOf(f, "198.51.100.7", 1000+n, readRoute).open("a1", 0)
+			f.caller(20_000+n/5, checkRoute).open("a1", 0) // It came in calm times, too.
+		}
+	}
+	shares := refusals(h, "callerShare")
+	require.Greater(t, shares["203.0.113.9"], 50)
+	require.Len(t, shares, 1, "nobody else is refused for a share")
+	require.Equal(t, uint64(shares["203.0.113.9"]), h.steerer.Snapshot().Counts[steerer.RefusedCallerShare])
+}
+
+// Symptom: a caller is refused for its share on an ordinary day. Sequence: one address
+// opens nine flows of ten, and the service is calm. Cause: shares that count without need.
+func TestSharesCountOnlyWhileRoomIsShort(t *testing.T) {
+	f := newFleet(t, 1)
+	for n := range 200 {
+		c := portOf(f, "203.0.113.9", 1000+n, checkRoute)
+		if n%10 == 0 {
+			c = f.caller(n, checkRoute)
+		}
+		c.open("a1", 0)
+		require.NotEmpty(t, c.target)
+	}
+}
+
+// Symptom: callers are refused for their share though their service has room. Sequence: it
+// is calm; a quota refuses the reads, and one address opens nine checks of ten. Cause:
+// refusals taken for a shortage.
+func TestRefusalsOfACalmServiceAreNoShortage(t *testing.T) {
+	f := newFleet(t, 1)
+	f.quotas = []throttler.Quota{{Route: "read", PerSecond: 1}}
+	f.start("a1")
+	f.step(2 * time.Second)
+	for n := range 200 {
+		f.step(10 * time.Millisecond)
+		f.caller(n, readRoute).open("a1", 0)
+		portOf(f, "203.0.113.9", 1000+n, checkRoute).open("a1", 0)
+	}
+	h := f.hosts["a1"]
+	require.NotEmpty(t, refusals(h, "callerQuota"))
+	require.Empty(t, refusals(h, "callerShare"))
+}
+
+// Symptom: callers get more than their quota, or others less. Sequence: a quota of 40 a
+// second for a prefix; three hosts in the zone. Cause: hosts that each apply the whole, or
+// apply it to all.
+func TestQuotaHoldsOverTheHostsOfAZone(t *testing.T) {
+	f := newFleet(t, 3)
+	f.quotas = []throttler.Quota{{Prefix: netip.MustParsePrefix("203.0.113.0/24"), PerSecond: 40}}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	f.step(2 * time.Second)
+	opened := 0
+	for n := range 400 {
+		f.step(5 * time.Millisecond)
+		name := f.names[n%3]
+		c := portOf(f, "203.0.113.9", 1000+n, checkRoute)
+		if c.open(name, 0); c.target != "" {
+			opened++
+		}
+		other := portOf(f, "198.51.100.7", 1000+n, checkRoute)
+		other.open(name, 0)
+		require.NotEmpty(t, other.target)
+	}
+	t.Logf("%d of 400 in two seconds", opened)
+	require.InDelta(t, 2*40+40, opened, 15, "and a second's at once")
+	require.NotEmpty(t, refusals(f.hosts["a1"], "callerQuota"))
+}
+
+// Symptom: a quota is no bound for callers with long flows. Sequence: one flow brings all
+// requests. Cause: only new flows count. The open flow itself may not be touched.
+func TestRequestsOfOpenFlowsCountForAQuota(t *testing.T) {
+	f := newFleet(t, 1)
+	f.quotas = []throttler.Quota{{Route: "read", PerSecond: 10}}
+	f.start("a1")
+	f.step(2 * time.Second)
+	c := f.caller(1, readRoute)
+	c.open("a1", 0)
+	c.establish("a1")
+	for range 30 {
+		c.ask("a1")
+		c.thank("a1")
+	}
+	require.Empty(t, f.hosts["a1"].resets)
+	second := f.caller(2, readRoute)
+	second.open("a1", 0)
+	require.Empty(t, second.target)
+	require.Len(t, f.hosts["a1"].resets, 1)
+	check := f.caller(3, checkRoute)
+	check.open("a1", 0)
+	require.NotEmpty(t, check.target, "the quota is of another route")
+}
--- /dev/null
+++ b/core/throttler/quota.go
@@ -0,0 +1,163 @@
+package throttler
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"time"
+
+	"cranberryspan.dev/core/timekeeper"
+	"golang.org/x/time/rate"
+)
+
+// Quota bounds the requests of some callers. It is immutable.
+type Quota struct {
+	// Prefix is whose requests count; all callers' if it is not valid.
+	Prefix netip.Prefix
+	// Route is where they count; on all routes if it is empty.
+	Route string
+	// PerSecond is how many requests all hosts of an availability zone pass on together.
+	PerSecond float64
+}
+
+// Touches reports whether a caller's requests to a route count.
+func (q Quota) Touches(caller netip.Addr, route string) bool {
+	if q.Route != "" && q.Route != route {
+		return false
+	}
+	return !q.Prefix.IsValid() || q.Prefix.Contains(caller.Unmap())
+}
+
+func (q Quota) String() string {
+	callers, route := "all callers", "all routes"
+	if q.Prefix.IsValid() {
+		callers = q.Prefix.String()
+	}
+	if q.Route != "" {
+		route = "route " + q.Route
+	}
+	return fmt.Sprintf("%s on %s", callers, route)
+}
+
+// QuotaText is a quota as operators write it.
+type QuotaText struct {
+	// Prefix is such as "203.0.113.0/24", or a single address. Prefix or Route may be
+	// left out.
+	Prefix            string  `yaml:"prefix"`
+	Route             string  `yaml:"route"`
+	RequestsPerSecond float64 `yaml:"requestsPerSecond"`
+}
+
+// ParseQuotas checks quotas as operators write them.
+func ParseQuotas(texts []QuotaText) ([]Quota, error) {
+	quotas := make([]Quota, 0, len(texts))
+	seen := map[Quota]int{}
+	for i, text := range texts {
+		q, err := text.parse()
+		if err != nil {
+			return nil, &Error{Op: "check quotas", Kind: KindInvalid, Err: fmt.Errorf("quotas[%d]: %w", i, err)}
+		}
+		whose := Quota{Prefix: q.Prefix, Route: q.Route}
+		if first, taken := seen[whose]; taken {
+			return nil, &Error{Op: "check quotas", Kind: KindInvalid, Err: fmt.Errorf("quotas[%d]: %s has a quota in quotas[%d]; write one", i, q, first)}
+		}
+		seen[whose] = i
+		quotas = append(quotas, q)
+	}
+	return quotas, nil
+}
+
+func (t QuotaText) parse() (Quota, error) {
+	q := Quota{Route: t.Route, PerSecond: t.RequestsPerSecond}
+	if t.Prefix == "" && t.Route == "" {
+		return q, fmt.Errorf("it names neither prefix nor route; write one of them, or both")
+	}
+	if !(t.RequestsPerSecond > 0) || math.IsInf(t.RequestsPerSecond, 1) {
+		return q, fmt.Errorf("requestsPerSecond: %g is no rate above 0", t.RequestsPerSecond)
+	}
+	if t.Prefix == "" {
+		return q, nil
+	}
+	prefix, err := parsePrefix(t.Prefix)
+	q.Prefix = prefix
+	return q, err
+}
+
+// parsePrefix reads a prefix or a single address.
+func parsePrefix(text string) (netip.Prefix, error) {
+	if address, err := netip.ParseAddr(text); err == nil {
+		address = address.Unmap()
+		return netip.PrefixFrom(address, address.BitLen()), nil
+	}
+	prefix, err := netip.ParsePrefix(text)
+	if err != nil {
+		return netip.Prefix{}, fmt.Errorf("prefix: %q is no prefix such as 203.0.113.0/24 and no address", text)
+	}
+	if prefix.Addr().Is4In6() {
+		return netip.Prefix{}, fmt.Errorf("prefix: %s is an IPv4 prefix in the form of IPv6; write it as IPv4", text)
+	}
+	if masked := prefix.Masked(); masked != prefix {
+		return netip.Prefix{}, fmt.Errorf("prefix: %s has bits beyond its length; write %s", text, masked)
+	}
+	return prefix, nil
+}
+
+// bucket is a host's part of a quota.
+type bucket struct {
+	quota   Quota
+	limiter *rate.Limiter
+	// hosts is by how many hosts the quota is divided.
+	hosts int
+}
+
+func newBucket(q Quota) *bucket {
+	b := &bucket{quota: q, hosts: 1}
+	b.limiter = rate.NewLimiter(b.part())
+	return b
+}
+
+// part is the host's part of the quota, and how many requests may come at once.
+func (b *bucket) part() (perSecond rate.Limit, atOnce int) {
+	part := b.quota.PerSecond / float64(b.hosts)
+	return rate.Limit(part), max(int(math.Ceil(part)), 1)
+}
+
+// HasQuotas reports whether there is any quota.
+func (t *Throttler) HasQuotas() bool { return len(t.quotas) > 0 }
+
+// ShareQuotas divides the quotas by the live hosts of the zone, this one among them.
+func (t *Throttler) ShareQuotas(hosts int, now timekeeper.Instant) {
+	for _, b := range t.quotas {
+		if hosts = max(hosts, 1); hosts == b.hosts {
+			continue
+		}
+		b.hosts = hosts
+		part, atOnce := b.part()
+		b.limiter.SetLimitAt(clock(now), part)
+		b.limiter.SetBurstAt(clock(now), atOnce)
+	}
+}
+
+// Exceeded returns a quota that a caller's new flow on a route would exceed.
+func (t *Throttler) Exceeded(caller netip.Addr, route string, now timekeeper.Instant) (Quota, bool) {
+	for _, b := range t.quotas {
+		if b.quota.Touches(caller, route) && b.limiter.TokensAt(clock(now)) < 1 {
+			return b.quota, true
+		}
+	}
+	return Quota{}, false
+}
+
+// Charge counts a request. Those in open flows can't be refused: new flows pay for them,
+// up to what a second's requests are, so that the debt ends with its cause.
+func (t *Throttler) Charge(caller netip.Addr, route string, now timekeeper.Instant) {
+	for _, b := range t.quotas {
+		_, atOnce := b.part()
+		if b.quota.Touches(caller, route) && b.limiter.TokensAt(clock(now)) > -float64(atOnce) {
+			b.limiter.ReserveN(clock(now), 1)
+		}
+	}
+}
+
+// clock turns an instant into the limiter's time, of which only differences matter.
+func clock(now timekeeper.Instant) time.Time { return time.Unix(0, int64(now)) }
--- a/operator/main.go
+++ b/operator/main.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"cranberryspan.dev/core/resolver"
+	"cranberryspan.dev/core/throttler"
 	"cranberryspan.dev/operator/internal/asker"
 	"cranberryspan.dev/operator/internal/printer"
 	"cranberryspan.dev/platform"
@@ -39,8 +40,9 @@
 	var invalid *resolver.Error
 	var unreachable *asker.Error
 	var malformed *platform.Error
+	var quota *throttler.Error
 	switch {
-	case errors.As(err, &invalid), errors.As(err, &malformed):
+	case errors.As(err, &invalid), errors.As(err, &malformed), errors.As(err, &quota):
 		return exitInvalid
 	case errors.As(err, &unreachable):
 		return exitUnreachable
@@ -63,6 +65,7 @@
 			{Name: "explain", Usage: "list the values in force at a path, or for a published route or service, and where they come from", ArgsUsage: "FILE PATH", Action: explain(out)},
 			{Name: "diff", Usage: "list what a change alters and what it does to flows", ArgsUsage: "OLD NEW", Action: diff(out)},
 			{Name: "routes", Usage: "show published routes, or what a change of them does to flows", ArgsUsage: "FILE [NEW]", Action: routes(out)},
+			{Name: "quotas", Usage: "list the quotas of a flow host's file, or those that touch a caller", ArgsUsage: "FILE [CALLER]", Action: quotas(out)},
 			{Name: "status", Usage: "show the state of hosts", ArgsUsage: "ADMIN...", Action: status(out)},
 			{Name: "knowledge", Usage: "show which version and revision hosts of the flow edge know, how old that is, and from whom", ArgsUsage: "ADMIN...", Action: knowledge(out)},
 			{Name: "targets", Usage: "show what hosts of the flow edge believe of their targets, and why new flows avoid some", ArgsUsage: "ADMIN...", Action: targets(out)},
--- a/operator/main_test.go
+++ b/operator/main_test.go
@@ -160,6 +160,19 @@
 	runCommands(t, tests)
 }
 
+func TestQuotasOfAHostsFile(t *testing.T) {
+	file := write(t, "host.yaml", "name: a1\nquotas:\n- {prefix: 203.0.113.0/24, requestsPerSecond: 50}\n- {route: read, requestsPerSecond: 200}\n- {prefix: 198.51.100.7, route: check, requestsPerSecond: 5}\n")
+	broken := write(t, "broken.yaml", "quotas:\n- {requestsPerSecond: 50}\n")
+	runCommands(t, []commandTest{
+		{"all", []string{"quotas", file}, exitOK, []string{"203.0.113.0/24 on all routes", "all callers on route read", "198.51.100.7/32 on route check", "200 requests a second"}},
+		{"of a caller", []string{"quotas", file, "203.0.113.9"}, exitOK, []string{"203.0.113.0/24 on all routes", "all callers on route read"}},
+		{"of none", []string{"quotas", file, "here"}, exitUsage, nil},
+		{"broken", []string{"quotas", broken}, exitInvalid, nil},
+	})
+	_, out, _ := spanctl("quotas", file, "203.0.113.9")
+	require.NotContains(t, out, "198.51.100.7")
+}
+
 func TestTargetsOfAHost(t *testing.T) {
 	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		require.Equal(t, "/targets", r.URL.Path)
--- /dev/null
+++ b/operator/quotas.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"cranberryspan.dev/core/resolver"
+	"cranberryspan.dev/core/throttler"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"go.yaml.in/yaml/v3"
+)
+
+// hostQuotas is the part of a host's file that bounds callers.
+type hostQuotas struct {
+	Quotas []throttler.QuotaText `yaml:"quotas"`
+}
+
+// quotas lists the quotas of a host's file, or those that touch a caller.
+func quotas(out io.Writer) cli.ActionFunc {
+	return func(_ context.Context, command *cli.Command) error {
+		args := command.Args().Slice()
+		if len(args) != 1 && len(args) != 2 {
+			return errors.Newf("usage: spanctl %s %s", command.Name, command.ArgsUsage)
+		}
+		p, err := newPrinter(out, command)
+		if err != nil {
+			return err
+		}
+		all, err := readQuotas(args[0])
+		if err != nil {
+			return err
+		}
+		if len(args) == 1 {
+			return p.Values(quotaValues(all))
+		}
+		caller, err := netip.ParseAddr(args[1])
+		if err != nil {
+			return errors.Wrapf(err, "caller")
+		}
+		return p.Values(quotaValues(touching(all, caller)))
+	}
+}
+
+// readQuotas reads and checks the quotas of a host's file.
+func readQuotas(path string) ([]throttler.Quota, error) {
+	file, err := readSource(path)
+	if err != nil {
+		return nil, err
+	}
+	var text hostQuotas
+	if err := yaml.Unmarshal(file.document, &text); err != nil {
+		return nil, errors.Wrapf(err, "%s", path)
+	}
+	return throttler.ParseQuotas(text.Quotas)
+}
+
+// touching returns the quotas of which some route counts a caller's requests.
+func touching(all []throttler.Quota, caller netip.Addr) []throttler.Quota {
+	var some []throttler.Quota
+	for _, q := range all {
+		if q.Touches(caller, q.Route) {
+			some = append(some, q)
+		}
+	}
+	return some
+}
+
+// quotaValues writes quotas in the form of values in force.
+func quotaValues(all []throttler.Quota) []resolver.Value {
+	values := make([]resolver.Value, 0, len(all))
+	for _, q := range all {
+		values = append(values, resolver.Value{Key: q.String(), Value: fmt.Sprintf("%g requests a second over the hosts of a zone", q.PerSecond), Level: "quotas"})
+	}
+	return values
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -156,8 +156,8 @@
 without "requests that wait" steerer/pacing.go 'if !s.mayPace(f, v) {' 'if true {' 'TestFeedWaitsWhileItsServiceIsPressed|TestNewFeedIsRefusedWhileOthersWait'
 without "the bound on a wait" pacer/line.go 'return r.lastDeadline.Passed(now)' 'return false' TestPacedRequestIsPassedOnWhileItsCallerHasTime
 without "repeats that wait, too" steerer/steering.go 'if f.paced != nil && s.pacedPacket(f, p) {' 'if false {' TestRepeatsOfAPacedRequestAreNotPassedOn
-without "the end of a request whose caller has gone" steerer/flow.go 'func (s *Steerer) close(f *flow) {
-	s.dropPaced(f)' 'func (s *Steerer) close(f *flow) {' TestPacedRequestOfACallerThatHasGoneIsDropped
+without "the end of a request whose caller has gone" steerer/flow.go 'func (s *Steerer) close(key flowKey, f *flow) {
+	s.dropPaced(f)' 'func (s *Steerer) close(key flowKey, f *flow) {' TestPacedRequestOfACallerThatHasGoneIsDropped
 without "refusals while others wait" steerer/pacing.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
 without "what waits at a host that leaves" steerer/leaving.go 's.passAllPaced(t, "leaving")' '_ = t' TestLeavingHostPassesOnWhatWaits
 without "resets of what waits for a silent target" steerer/health.go '!f.waiting && f.paced == nil' '!f.waiting' TestPacedRequestOfASilentTargetIsReset
@@ -226,5 +226,30 @@
 without "the turn of those that will be late" pacer/line.go 'if r.turnDeadline.Passed(now) {' 'if false {' TestWaitIsBounded
 without "the end of pacing" pacer/pacer.go '(before && l.pressure > calmBelow)' 'before' TestUsualLoadDoesNotWait
 
+package=steerer
+without "callers' shares" steerer/steering.go 'if f == nil && s.throttled(p, &route, service) {' 'if false && s.throttled(p, &route, service) {' 'TestCallerThatRepeatsWithoutPauseIsRefusedFirst|TestQuotaHoldsOverTheHostsOfAZone'
+without "shares only while room is short" steerer/throttling.go 'Short: s.shortOfRoom(service)}' 'Short: true || s.shortOfRoom(service)}' TestRefusalsOfACalmServiceAreNoShortage
+without "quotas over a zone" steerer/steerer.go '	s.shareQuotas()
+' '' TestQuotaHoldsOverTheHostsOfAZone
+without "requests of open flows in quotas" steerer/steering.go 's.chargeRequest(p, f)' '_ = p' TestRequestsOfOpenFlowsCountForAQuota
+
+package=throttler
+without "max-min fairness" throttler/throttler.go 'verdict.Refused = verdict.Had >= max(' 'verdict.Refused = false && verdict.Had >= max(' 'TestOneCallerThatRepeatsWithoutPauseLeavesRoomToTheOthers|TestAddressesThatChangeAnswerTogether'
+without "weights" throttler/table.go '	if c.known {
+		return c.weight' '	if c.known {
+		return leastWeight' 'TestThousandsBehindOneAddressAreNotOneCaller|TestCallersWhoAskAlikeAreServedAlike'
+without "weights that stay in a shortage" throttler/throttler.go 'return s.calmDeadline.Passed(now)' 'return true || s.calmDeadline.Passed(now)' TestAddressesThatChangeAnswerTogether
+without "prefixes of new addresses" throttler/throttler.go 'if own, ok := s.addresses.callers.Get(key); ok {' 'if own := s.addresses.at(key, now); own != nil {' 'TestAddressesThatChangeAnswerTogether|TestAddressesThatComeOnceDoNotDisplaceOthers'
+without "shares that grow again" throttler/throttler.go 'b.level *= growth' 'b.level *= 1' TestOneCallerThatRepeatsWithoutPauseLeavesRoomToTheOthers
+without "crowds that ask alike" throttler/table.go 'return some.asked*d.weight > excess*d.asked*some.weight' 'return true' TestCallersWhoComeFromElsewhereAreServedAlike
+without "strangers that stand out together" throttler/table.go '|| (!c.known &&' '|| (false && !c.known &&' TestAddressesThatComeOnceDoNotDisplaceOthers
+without "the weight of those who come from elsewhere" throttler/table.go 'b.unknownWeight = max(sum/most, leastWeight)' 'b.unknownWeight = leastWeight + 0*sum/most' TestCallersWhoComeFromElsewhereAreServedAlike
+without "room for all" throttler/throttler.go 'if refused < leastRefused {' 'if false && refused < leastRefused {' TestNobodyIsRefusedWhileAllAreServed
+without "bounded services" throttler/throttler.go 'maxServices = 64' 'maxServices = 640' TestMemoryIsBounded
+without "bounded callers" throttler/throttler.go 'maxAddresses = 512' 'maxAddresses = 51200' TestMemoryIsBounded
+without "a bound on a quota's debt" throttler/quota.go '&& b.limiter.TokensAt(clock(now)) > -float64(atOnce) {' '&& atOnce > 0 {' TestRequestsOfOpenFlowsAreChargedWithinBounds
+without "a host's part of a quota" throttler/quota.go 'b.quota.PerSecond / float64(b.hosts)' 'b.quota.PerSecond' TestHostsOfAZoneShareAQuota
+without "quotas of a prefix" throttler/quota.go 'return !q.Prefix.IsValid() || q.Prefix.Contains(caller.Unmap())' 'return true' TestQuotasBoundThoseWhomTheyTouch
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
