--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -38,9 +38,6 @@
 	hash    uint64
 	// avoid is a target that is passed over unless there is no other; nil if none is.
 	avoid *target
-	// silentZone is a zone that has shown no life since the flow's first packet; empty if
-	// none is known.
-	silentZone string
 }
 
 // zoneView is what a choice has to know of a zone.
@@ -65,7 +62,7 @@
 			region:     len(c.route.Regions) == 0 || slices.Contains(c.route.Regions, s.config.Regions[zone]),
 			evacuated:  evacuated && !outOfTouch,
 			lastResort: evacuated && outOfTouch,
-			doubted:    zone == c.silentZone || s.diagnoser.ZoneDoubted(zone, s.now),
+			doubted:    s.diagnoser.ZoneDoubted(zone, s.now),
 		})
 	}
 	return s.zoneViews
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -80,9 +80,7 @@
 // What goes wrong if every copy goes where the first went: the target is silent
 // and the attempt ends after 1.4 s. If every copy goes elsewhere: the answer of
 // the first target was merely lost, and two targets believe in the flow. So a
-// copy goes elsewhere only if the first target has shown no life since. And if nothing of
-// its zone has, it goes to another zone: targets fail together, and a second copy at a
-// dead target leaves nothing of what callers hope for.
+// copy goes elsewhere only if the first target has shown no life since.
 func (s *Steerer) chooseForOpening(f *flow, c *choice) *target {
 	if f == nil {
 		return s.choose(*c)
@@ -92,9 +90,6 @@
 		return f.target
 	}
 	c.avoid = f.target
-	if s.diagnoser.Quiet(f.target.AvailabilityZone, f.openedAt, s.now) {
-		c.silentZone = f.target.AvailabilityZone
-	}
 	return s.choose(*c)
 }
 
