What a host does for others no longer grows with the fleet

Cause: an opening packet weighed all targets and went through a word of each host that had ever said that a target answers too quickly (hosts times targets, never forgotten); a report to the own zone went over all targets three times; each tick hashed the name of each host for a rank that no read asked for. Each host told another of any zone in each round, and named eight hosts there: what passes between zones grew with the fleet.

Change: targets of the own zone stand first, and others are weighed only if they may win; two quick words a target; one pass for all reports of an event; lists of hosts by zone and of those heard of late (peerzones.go). Hosts of a large zone take turns with reports to others, which name three hosts; news goes at once, as before. zonesHeard lets the hosts of a zone know together which others are silent.

--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -139,7 +139,7 @@
 // first one that knows, its link is full, and nobody is answered in time.
 func (s *Steerer) informant() *peer {
 	agrees, newest, revision := false, uint64(0), uint64(0)
-	for _, p := range s.peers.ordered() {
+	for _, p := range s.peers.recent {
 		if p.hears(s.now) && p.revision != 0 {
 			agrees = agrees || p.digest == s.targets.digest()
 			newest = max(newest, p.version)
@@ -157,7 +157,7 @@
 // if those are lacking, at random.
 func (s *Steerer) pickInformant(newest uint64) *peer {
 	var near, far []*peer
-	for _, p := range s.peers.ordered() {
+	for _, p := range s.peers.recent {
 		useful := p.hears(s.now) && p.revision != 0 && p.version == newest
 		if !useful || (newest == s.version() && p.revision <= s.targetsRevision) {
 			continue
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -86,6 +86,9 @@
 	var bestLoad float64
 	views := s.views(&c)
 	for _, t := range s.targets.byService[c.service] {
+		if best != nil && bestLoad < otherZoneLoad && t.AvailabilityZone != s.config.AvailabilityZone {
+			break // Only targets of other zones follow, each with more load than that.
+		}
 		if s.excluded(t, views) != notExcluded || !s.admits(t) {
 			continue
 		}
--- a/core/steerer/cold.go
+++ b/core/steerer/cold.go
@@ -48,9 +48,13 @@
 
 // noteZoneHosts tells the warmer who may live in this host's zone.
 func (s *Steerer) noteZoneHosts() {
+	if s.peers.zoneEpoch == s.peers.zones.epoch {
+		return
+	}
+	s.peers.zoneEpoch = s.peers.zones.epoch
 	var others []string
-	for _, p := range s.peers.ordered() {
-		if p.zone == s.config.AvailabilityZone && !p.leaving {
+	for _, p := range s.peers.zones.of(s.config.AvailabilityZone) {
+		if !p.leaving {
 			others = append(others, p.name)
 		}
 	}
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -27,9 +27,13 @@
 	//
 	// One host of any zone a round is enough to take news to each zone within a round or
 	// two, since all hosts of a zone tell it; the others are where traffic has no price.
+	//
+	// farTellers is how many hosts of a zone tell hosts of any zone in a round without
+	// news; those of a larger zone take turns.
 	smallFleet   = 12
 	reportFanout = 4
 	nearFanout   = 3
+	farTellers   = 12
 	// maxChanges bounds the changes in a report, so that it fits a datagram.
 	maxChanges = 10
 	// changeMemory is how long a change is repeated in reports.
@@ -42,13 +46,15 @@
 	busyMemory = 600 * time.Millisecond
 	// peerMemory is after how long a host that nobody mentions is forgotten.
 	peerMemory = 60 * time.Second
+	// peerSweepEvery is how often hosts to forget are looked for.
+	peerSweepEvery = time.Second
 	// shortMentionSilence is after how long a host that nobody mentions does not count
 	// for rank, in a small fleet. In a larger one word of a host goes from zone to zone by
 	// one report of a round, which takes up to longMentionSilence, and each host is
-	// mentioned more rarely, by maxHints in each of some 16 reports a second.
+	// mentioned more rarely, by maxHints in each of 12 reports a second to its zone.
 	shortMentionSilence = time.Second
 	longMentionSilence  = 5 * time.Second
-	mentionsASecond     = 4 * reportFanout * maxHints
+	mentionsASecond     = 4 * nearFanout * maxHints
 	// mentionsMissed is how many mentions must fail to come: one in e^8 hosts that
 	// live is missed.
 	mentionsMissed = 8
@@ -61,8 +67,11 @@
 	// nextReaders is how many hosts, next in rank, hear of a read of the platform at once:
 	// as many as would read within the time that the news takes to all.
 	nextReaders = 3
-	// maxHints bounds the hosts that a report names.
-	maxHints = 8
+	// maxHints bounds the hosts that a report names, maxFarHints those in a report of a
+	// larger fleet to another zone, of which names are the larger part. All hosts of a zone
+	// tell that zone, so each host is mentioned there some times a second.
+	maxHints    = 8
+	maxFarHints = 3
 	// hintAgeUnit is the unit in which reports say how long ago a host was heard.
 	hintAgeUnit = 100 * time.Millisecond
 )
@@ -81,7 +90,12 @@
 	// lives is when it last reported, or a host mentioned that it had.
 	lives        timekeeper.Instant
 	nextDeadline timekeeper.Instant
-	busy         map[uint32]uint16
+	// hash orders hosts whose links are equal.
+	hash uint64
+	busy map[uint32]uint16
+	// recent and loaded say that the host stands in those lists.
+	recent bool
+	loaded bool
 	// version and revision are what the host had in force at its last report,
 	// digest what it knew of targets.
 	version  uint64
@@ -99,6 +113,16 @@
 type peers struct {
 	byName map[string]*peer
 	sorted []*peer
+	zones  peerZones
+	// recent are the hosts that reported within peerSilence, a few of a large fleet, in the
+	// order of their names.
+	recent []*peer
+	// loaded are the hosts whose load counts.
+	loaded []*peer
+	// sweepDeadline is when hosts that fell silent are next looked for.
+	sweepDeadline timekeeper.Instant
+	// zoneEpoch is the epoch of zones of which the warmer knows.
+	zoneEpoch uint64
 	// news asks for a report at once.
 	news    bool
 	changes []change
@@ -114,11 +138,13 @@
 	// are the hosts of the own zone, and all, that have not had their turn yet.
 	roundDeadline timekeeper.Instant
 	nearOrder     []*peer
-	order         []*peer
+	// rounds counts them.
+	rounds uint64
+	order  []*peer
 }
 
 func newPeers() peers {
-	return peers{byName: map[string]*peer{}, seeds: map[netip.AddrPort]timekeeper.Instant{}}
+	return peers{byName: map[string]*peer{}, zones: newPeerZones(), seeds: map[netip.AddrPort]timekeeper.Instant{}}
 }
 
 // changed marks a target's state as news.
@@ -182,7 +208,7 @@
 	if p.link != 0 && p.link != s.config.LinkBytesPerSecond {
 		return p.link > s.config.LinkBytesPerSecond
 	}
-	return xxhash.Sum64String(p.name) < xxhash.Sum64String(s.config.Self)
+	return p.hash < s.selfHash
 }
 
 // tellNextReaders reports a read of the platform to the hosts that would read next.
@@ -204,7 +230,7 @@
 		if c := cmp.Compare(y.link, x.link); c != 0 {
 			return c
 		}
-		return cmp.Compare(xxhash.Sum64String(x.name), xxhash.Sum64String(y.name))
+		return cmp.Compare(x.hash, y.hash)
 	})
 	for _, p := range next[:min(len(next), nextReaders)] {
 		s.sendReport(p)
@@ -242,7 +268,7 @@
 func (s *Steerer) notePeer(name string, address netip.AddrPort, age time.Duration) *peer {
 	p, ok := s.peers.byName[name]
 	if !ok {
-		p = &peer{name: name, address: address}
+		p = &peer{name: name, address: address, hash: xxhash.Sum64String(name)}
 		s.peers.byName[name] = p
 		s.peers.sorted = nil
 	}
@@ -269,13 +295,36 @@
 	s.reportToSeeds()
 }
 
+// noteHeard takes in that a host has just reported.
+func (p *peers) noteHeard(from *peer, now timekeeper.Instant) {
+	from.heard = now
+	if !from.recent {
+		from.recent = true
+		p.recent = insertByName(p.recent, from)
+	}
+}
+
 // forgetPeers drops what is known of hosts that fell silent.
 func (s *Steerer) forgetPeers() {
-	for _, p := range s.peers.ordered() {
-		if len(p.busy) > 0 && s.now.Since(p.heard) > busyMemory {
-			s.takeBusy(p, nil)
+	s.peers.recent = slices.DeleteFunc(s.peers.recent, func(p *peer) bool {
+		p.recent = s.now.Since(p.heard) < peerSilence
+		return !p.recent
+	})
+	s.peers.loaded = slices.DeleteFunc(s.peers.loaded, func(p *peer) bool {
+		if len(p.busy) > 0 && s.now.Since(p.heard) <= busyMemory {
+			return false
 		}
+		s.takeBusy(p, nil)
+		p.loaded = false
+		return true
+	})
+	if !s.peers.sweepDeadline.Passed(s.now) {
+		return
+	}
+	s.peers.sweepDeadline = s.now.Add(peerSweepEvery)
+	for _, p := range s.peers.ordered() {
 		if s.now.Since(p.lives) > peerMemory {
+			s.peers.zones.move(p, "")
 			delete(s.peers.byName, p.name)
 			s.peers.sorted = nil
 		}
--- a/core/steerer/quickness.go
+++ b/core/steerer/quickness.go
@@ -34,8 +34,8 @@
 type quickness struct {
 	// own are the last two moments at which this host saw one.
 	own [quickEnough]timekeeper.Instant
-	// peers tells by host of the zone until when its word counts.
-	peers map[string]timekeeper.Instant
+	// peers are the words of other hosts of the zone.
+	peers quickWords
 }
 
 // noteAnswer learns from the time until an answer.
@@ -72,11 +72,7 @@
 			count++
 		}
 	}
-	for _, deadline := range t.quick.peers {
-		if !deadline.Passed(s.now) {
-			count++
-		}
-	}
+	count += t.quick.peers.count(s.now)
 	return count >= quickEnough && !s.pressed(t.Service)
 }
 
@@ -87,20 +83,12 @@
 		if !ok {
 			continue
 		}
-		if t.quick.peers == nil {
-			t.quick.peers = map[string]timekeeper.Instant{}
-		}
-		t.quick.peers[from.name] = s.now.Add(quickMemory)
+		t.quick.peers.add(from.name, s.now.Add(quickMemory))
 	}
 }
 
-// quickTargets lists the targets whose quick answers this host saw of late.
-func (s *Steerer) quickTargets() []uint32 {
-	var tags []uint32
-	for _, t := range s.targets.ordered() {
-		if last := t.quick.own[1]; last != 0 && s.now.Since(last) < quickMemory && len(tags) < maxQuick {
-			tags = append(tags, uint32(t.tag))
-		}
-	}
-	return tags
+// quickOfLate reports whether this host saw quick answers of a target of late.
+func (s *Steerer) quickOfLate(t *target) bool {
+	last := t.quick.own[1]
+	return last != 0 && s.now.Since(last) < quickMemory
 }
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -187,8 +187,11 @@
 // all learn from its reports. A host that hears nothing new, because readers
 // died, were cut off or are turned away, reads for itself.
 func (s *Steerer) readingTick() {
-	rank := s.rank()
 	settings, targets := &s.reading.settings, &s.reading.targets
+	if !s.due(targets, 0, s.config.DrainingWithin, 0) && !s.due(settings, 0, s.publishedWithin(), s.transferTime()) {
+		return // Not even the first in rank would read now, and a rank takes a look at all hosts.
+	}
+	rank := s.rank()
 	if s.due(targets, rank, s.config.DrainingWithin, 0) {
 		targets.begin()
 		s.counts.add(TargetsReads)
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -27,11 +27,12 @@
 		s.log("peerHeard", field("peer", p.name), field("zone", r.AvailabilityZone), field("incarnation", utoa(r.Incarnation)), field("version", utoa(r.Version)))
 	}
 	p.address = r.Address
-	p.zone = r.AvailabilityZone
+	s.peers.zones.move(p, r.AvailabilityZone)
 	p.link = r.LinkBytesPerSecond
 	p.incarnation = r.Incarnation
-	p.leaving = r.Leaving
-	p.heard = s.now
+	s.peers.zones.leave(p, r.Leaving)
+	s.peers.noteHeard(p, s.now)
+	s.peers.zones.noteReport(r, s.config.AvailabilityZone, s.now)
 	p.version = r.Version
 	p.revision = r.TargetsRevision
 	p.digest = r.TargetsDigest
@@ -61,13 +62,20 @@
 			t.peersBusy = max(t.peersBusy-int(n), 0)
 		}
 	}
-	p.busy = make(map[uint32]uint16, len(busy))
+	clear(p.busy)
+	if p.busy == nil && len(busy) > 0 {
+		p.busy = make(map[uint32]uint16, len(busy))
+	}
 	for tag, n := range busy {
 		if t, ok := s.told(p, tag); ok {
 			t.peersBusy += int(n)
 			p.busy[tag] = n
 		}
 	}
+	if len(p.busy) > 0 && !p.loaded {
+		p.loaded = true
+		s.peers.loaded = append(s.peers.loaded, p)
+	}
 }
 
 // told returns the target that a host's report speaks of, by its tag. What a host says
@@ -150,9 +158,16 @@
 //
 // What goes wrong if all hosts are told as often as each other: in a fleet of five zones
 // four of five reports go to another zone, where traffic is priced, and news of the own
-// zone's loads is seconds old.
+// zone's loads is seconds old. And if each host tells hosts of any zone in each round, what
+// passes between zones grows with the fleet. So the hosts of a large zone take turns with
+// that, unless there is news.
 func (s *Steerer) reportRound() {
 	near := s.tellSome(&s.peers.nearOrder, nearFanout, func(p *peer) bool { return p.zone == s.config.AvailabilityZone })
+	s.peers.rounds++
+	turns := max(uint64(len(s.peers.zones.of(s.config.AvailabilityZone))/farTellers), 1)
+	if !s.peers.news && s.peers.rounds%turns != s.selfHash%turns {
+		return
+	}
 	s.tellSome(&s.peers.order, reportFanout-near, func(*peer) bool { return true })
 }
 
@@ -254,11 +269,13 @@
 	}
 	s.peers.changeTurn += maxChanges
 	if to.zone == s.config.AvailabilityZone {
-		r.Busy = s.busy()
-		r.Quick = s.quickTargets()
-		r.Silent = s.silentTargets()
+		own := s.ownNews()
+		r.Busy, r.Quick, r.Silent = own.busy, own.quick, own.silent
+		if len(s.peers.byName) > smallFleet {
+			r.ZonesHeard = own.zonesHeard
+		}
 	} else {
-		r.ZoneHosts = s.zoneHosts(to.zone)
+		r.ZoneHosts = len(s.peers.zones.of(to.zone))
 	}
 	return r
 }
@@ -273,6 +290,7 @@
 	}
 	silence := s.mentionSilence()
 	start := s.random.IntN(len(all))
+	most := s.mostHints(to)
 	helpful := func(*peer) bool { return true }
 	if !to.knows() && slices.ContainsFunc(all, (*peer).knows) {
 		helpful = (*peer).knows
@@ -288,12 +306,22 @@
 		if p.zone == s.config.AvailabilityZone {
 			r.HostsNear |= 1 << (len(r.Hosts) - 1)
 		}
-		if len(r.Hosts) == maxHints {
+		if len(r.Hosts) == most {
 			break
 		}
 	}
 }
 
+// mostHints is how many hosts a report to another names. One that has just started needs to
+// hear of as many as possible.
+func (s *Steerer) mostHints(to *peer) int {
+	far := to.zone != "" && to.zone != s.config.AvailabilityZone
+	if far && to.knows() && len(s.peers.byName) > smallFleet {
+		return maxFarHints
+	}
+	return maxHints
+}
+
 // tenths writes a time in tenths of a second, rounded up.
 func tenths(d time.Duration) uint8 {
 	return uint8(min((d+hintAgeUnit-1)/hintAgeUnit, math.MaxUint8))
@@ -314,20 +342,41 @@
 			p.link = r.HostLinks[i]
 		}
 		if p.zone == "" && i < maxHints && r.HostsNear&(1<<i) != 0 {
-			p.zone = r.AvailabilityZone
+			s.peers.zones.move(p, r.AvailabilityZone)
 		}
 	}
 }
 
-// busy counts this host's requests under way by target.
-func (s *Steerer) busy() map[uint32]uint16 {
-	busy := map[uint32]uint16{}
+// ownNews is what a host tells the others of its zone of the targets.
+type ownNews struct {
+	busy   map[uint32]uint16
+	quick  []uint32
+	silent []uint32
+	// zonesHeard is how long ago other zones were heard of.
+	zonesHeard map[string]uint8
+	// known says that it was worked out at this event.
+	known bool
+}
+
+// ownNews looks at all targets once for all reports of an event: requests under way, quick
+// answers of late, and targets that were found silent of late.
+func (s *Steerer) ownNews() *ownNews {
+	if s.own.known {
+		return &s.own
+	}
+	s.own = ownNews{busy: map[uint32]uint16{}, zonesHeard: s.peers.zones.ages(s.now), known: true}
 	for _, t := range s.targets.ordered() {
 		if n := t.busy + t.opening; n > 0 {
-			busy[uint32(t.tag)] = uint16(min(n, 1<<16-1))
+			s.own.busy[uint32(t.tag)] = uint16(min(n, 1<<16-1))
+		}
+		if s.quickOfLate(t) && len(s.own.quick) < maxQuick {
+			s.own.quick = append(s.own.quick, uint32(t.tag))
+		}
+		if s.silentOfLate(t) && len(s.own.silent) < maxSilent {
+			s.own.silent = append(s.own.silent, uint32(t.tag))
 		}
 	}
-	return busy
+	return &s.own
 }
 
 // state writes a target for a report.
--- a/core/steerer/returning.go
+++ b/core/steerer/returning.go
@@ -28,25 +28,14 @@
 		return false
 	}
 	living := 1
-	for _, p := range s.peers.ordered() {
-		if p.zone == s.config.AvailabilityZone && p.mentioned(s.now, shortMentionSilence) {
+	for _, p := range s.peers.zones.of(s.config.AvailabilityZone) {
+		if p.mentioned(s.now, shortMentionSilence) {
 			living++
 		}
 	}
 	return 2*living < s.peers.expectedInZone
 }
 
-// zoneHosts counts the hosts of another zone that this one has heard of within peerMemory.
-func (s *Steerer) zoneHosts(zone string) int {
-	count := 0
-	for _, p := range s.peers.ordered() {
-		if p.zone == zone && zone != "" {
-			count++
-		}
-	}
-	return count
-}
-
 // takeZoneHosts takes in from a host that has run for a while that this zone runs, or how
 // many of its hosts the other has heard of.
 func (s *Steerer) takeZoneHosts(r *messenger.Report) {
--- a/core/steerer/silence.go
+++ b/core/steerer/silence.go
@@ -17,15 +17,9 @@
 	maxSilent = 32
 )
 
-// silentTargets lists the targets that this host has found silent of late.
-func (s *Steerer) silentTargets() []uint32 {
-	var tags []uint32
-	for _, t := range s.targets.ordered() {
-		if t.health.unreachable() && s.now.Since(t.health.silentSince) < silentNewsFor && len(tags) < maxSilent {
-			tags = append(tags, uint32(t.tag))
-		}
-	}
-	return tags
+// silentOfLate reports whether this host has found a target silent of late.
+func (s *Steerer) silentOfLate(t *target) bool {
+	return t.health.unreachable() && s.now.Since(t.health.silentSince) < silentNewsFor
 }
 
 // takeSilent takes in which targets another host of the zone has found silent. This host
@@ -69,15 +63,6 @@
 // zoneHostsSilent reports whether no host of another zone has reported of late, though some
 // did before.
 func (s *Steerer) zoneHostsSilent(zone string) bool {
-	known := false
-	for _, p := range s.peers.ordered() {
-		if p.zone != zone || p.heard == 0 {
-			continue
-		}
-		if p.hears(s.now) {
-			return false
-		}
-		known = true
-	}
-	return known && zone != s.config.AvailabilityZone
+	_, known := s.peers.zones.heard[zone]
+	return known && zone != s.config.AvailabilityZone && !s.peers.zones.hears(zone, s.now)
 }
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -126,6 +126,10 @@
 	toTargets []ToTarget
 	zoneViews []zoneView
 	counts    Counts
+	// own is what reports of the present event tell of the targets.
+	own ownNews
+	// selfHash is the hash of this host's name.
+	selfHash uint64
 }
 
 // New makes the steerer of a host that has just started and knows nothing.
@@ -137,7 +141,8 @@
 		now:      config.Start,
 		random:   rand.New(rand.NewPCG(config.Seed^own, config.Incarnation)),
 		removed:  map[netip.AddrPort]bool{},
-		targets:  newTable(),
+		targets:  newTable(config.AvailabilityZone),
+		selfHash: own,
 		flows:    map[flowKey]*flow{},
 		peers:    newPeers(),
 		usual:    map[string]*usualTime{},
@@ -161,6 +166,7 @@
 	clear(s.effects)
 	s.effects = s.effects[:0]
 	s.toTargets = s.toTargets[:0]
+	s.own.known = false
 	s.advance(*event.at())
 	switch event := event.(type) {
 	case *CallerPacket:
--- a/core/steerer/table.go
+++ b/core/steerer/table.go
@@ -12,6 +12,8 @@
 	// byService lists, for each service, the targets that new flows may go to: those
 	// that hold their tag.
 	byService map[string][]*target
+	// near is the availability zone whose targets stand first in each list of byService.
+	near string
 	// zones are the availability zones of targets that were ever listed; see target.zone.
 	zones []string
 	// sorted is byID in the order of IDs; nil after a change.
@@ -21,8 +23,8 @@
 	digestValid bool
 }
 
-func newTable() table {
-	return table{byID: map[string]*target{}, byTag: map[Tag]*target{}, byService: map[string][]*target{}}
+func newTable(near string) table {
+	return table{byID: map[string]*target{}, byTag: map[Tag]*target{}, byService: map[string][]*target{}, near: near}
 }
 
 // put adds a target or changes what is known of it. It reports whether another
@@ -35,6 +37,9 @@
 		t.byID[record.ID] = one
 		t.sorted = nil
 	}
+	if one.AvailabilityZone != record.AvailabilityZone {
+		t.list(one, "") // Its place in the list depends on its zone.
+	}
 	one.Target = record
 	one.zone = t.zoneIndex(record.AvailabilityZone)
 	one.seen = seen
@@ -80,11 +85,23 @@
 		t.byService[one.listedUnder] = slices.DeleteFunc(siblings, func(sibling *target) bool { return sibling == one })
 	}
 	if service != "" {
-		t.byService[service] = append(t.byService[service], one)
+		t.byService[service] = t.insert(t.byService[service], one)
 	}
 	one.listedUnder = service
 }
 
+// insert adds a target to the choices of a service, behind those of the near zone.
+func (t *table) insert(choices []*target, one *target) []*target {
+	if one.AvailabilityZone != t.near {
+		return append(choices, one)
+	}
+	firstFar := slices.IndexFunc(choices, func(other *target) bool { return other.AvailabilityZone != t.near })
+	if firstFar < 0 {
+		firstFar = len(choices)
+	}
+	return slices.Insert(choices, firstFar, one)
+}
+
 // remove forgets a target.
 func (t *table) remove(gone *target) {
 	t.sorted = nil
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -67,8 +67,8 @@
 	}
 	hosts := 1
 	silence := s.mentionSilence()
-	for _, p := range s.peers.ordered() {
-		if p.zone == s.config.AvailabilityZone && p.mentioned(s.now, silence) {
+	for _, p := range s.peers.zones.of(s.config.AvailabilityZone) {
+		if p.mentioned(s.now, silence) {
 			hosts++
 		}
 	}
