--- a/core/estimator/quick.go
+++ b/core/estimator/quick.go
@@ -29,8 +29,8 @@
 type Failures struct {
 	// own are the last moments at which this host saw one.
 	own [quickEnough]timekeeper.Instant
-	// told says by host of the zone until when its word counts.
-	told map[string]timekeeper.Instant
+	// told is what other hosts of the zone say.
+	told words
 }
 
 // Observe takes in an answer that came too quickly.
@@ -38,10 +38,7 @@
 
 // Told takes in that another host of the zone saw one.
 func (f *Failures) Told(host string, now timekeeper.Instant) {
-	if f.told == nil {
-		f.told = map[string]timekeeper.Instant{}
-	}
-	f.told[host] = now.Add(quickMemory)
+	f.told.add(host, now.Add(quickMemory))
 }
 
 // Recent reports whether this host saw one of late.
@@ -55,12 +52,7 @@
 			count++
 		}
 	}
-	for _, deadline := range f.told {
-		if !deadline.Passed(now) {
-			count++
-		}
-	}
-	return count >= quickEnough
+	return count+f.told.count(now) >= quickEnough
 }
 
 func recent(at, now timekeeper.Instant) bool { return at != 0 && now.Since(at) < quickMemory }
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -226,7 +226,7 @@
 		if t.Draining || s.gone(t) || lost || zone.evacuated || zone.doubted || reach.unheard(t.AvailabilityZone) {
 			continue
 		}
-		speed := 1 / s.slowness(t)
+		speed := 1 / t.slownessBesideSiblings()
 		if s.cold(t) {
 			speed /= warmingLoad
 		}
--- a/core/steerer/admitting_test.go
+++ b/core/steerer/admitting_test.go
@@ -80,7 +80,7 @@
 	require.Contains(t, lastRefusal(f), "priority=2")
 	require.NotZero(t, f.hosts["a1"].steerer.Snapshot().Counts[steerer.RefusedNoRoom])
 	for n := range 20 {
-		require.True(t, opensAt(f.caller(100+n, checkRoute)), "urgent callers fit in")
+		require.True(t, opensAt(f.caller(100+n, checkRoute)), "urgent callers fit in %s", lastRefusal(f))
 	}
 }
 
--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -143,7 +143,7 @@
 // first one that knows, its link is full, and nobody is answered in time.
 func (s *Steerer) informant() *peer {
 	agrees, newest, position := false, uint64(0), sequencer.Position{}
-	for _, p := range s.peers.ordered() {
+	for _, p := range s.peers.recent {
 		if p.hears(s.now) && p.position.Known() {
 			agrees = agrees || (p.position.Era == s.targetsPosition.Era && p.digest == s.targets.digest())
 			newest = max(newest, p.version)
@@ -164,7 +164,7 @@
 // if those are lacking, at random.
 func (s *Steerer) pickInformant(newest uint64) *peer {
 	var near, far []*peer
-	for _, p := range s.peers.ordered() {
+	for _, p := range s.peers.recent {
 		if !s.canTell(p, newest) {
 			continue
 		}
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -48,9 +48,6 @@
 	hash    uint64
 	// avoid is a target that is passed over unless there is no other; nil if none is.
 	avoid *target
-	// silentZone is a zone that has shown no life since the flow's first packet; empty if
-	// none is known.
-	silentZone string
 }
 
 // zoneView is what a choice has to know of a zone.
@@ -78,7 +75,7 @@
 			region:     len(c.route.Regions) == 0 || slices.Contains(c.route.Regions, s.config.Regions[zone]),
 			evacuated:  evacuated && !outOfTouch,
 			lastResort: evacuated && outOfTouch,
-			doubted:    zone == c.silentZone || s.diagnoser.ZoneDoubted(zone, s.now),
+			doubted:    s.diagnoser.ZoneDoubted(zone, s.now),
 			slowness:   s.speedZone(c.service, zone).Excess(),
 		})
 	}
@@ -107,6 +104,9 @@
 	}
 	crowd, full := s.crowdOf(&c), false
 	for _, t := range s.targets.byService[c.service] {
+		if best != nil && bestLoad < otherZoneLoad && t.AvailabilityZone != s.config.AvailabilityZone {
+			break // Only targets of other zones follow, each with more load than that.
+		}
 		if s.excluded(t, views) != notExcluded || !s.admits(t) {
 			continue
 		}
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -49,33 +49,39 @@
 	// target to learn whether it is quick again.
 	TargetSlow
 	TrialFlow
+	// RefusedCallerShare and RefusedCallerQuota count those of the flows refused whose
+	// caller had more than its share of a service short of room, or had used up a quota.
+	RefusedCallerShare
+	RefusedCallerQuota
 	numCounts
 )
 
 func (c Count) String() string { return countNames[c] }
 
 var countNames = [numCounts]string{
-	DropUnknowing:   "dropUnknowing",
-	DropUnknownTag:  "dropUnknownTag",
-	Refused:         "refused",
-	FlowReset:       "flowReset",
-	ProbeSent:       "probeSent",
-	NotRemembered:   "notRemembered",
-	SettingsReads:   "settingsReads",
-	TargetsReads:    "targetsReads",
-	ReadsFailed:     "readsFailed",
-	ReportsSent:     "reportsSent",
-	QuickAnswer:     "quickAnswer",
-	TargetMalformed: "targetMalformed",
-	RequestPaced:    "requestPaced",
-	RefusedNoRoom:   "refusedNoRoom",
-	RefusedFull:     "refusedFull",
-	SentOn:          "sentOn",
-	RefusedOverload: "refusedOverload",
-	DropStale:       "dropStale",
-	StoreRestored:   "storeRestored",
-	TargetSlow:      "targetSlow",
-	TrialFlow:       "trialFlow",
+	DropUnknowing:      "dropUnknowing",
+	DropUnknownTag:     "dropUnknownTag",
+	Refused:            "refused",
+	FlowReset:          "flowReset",
+	ProbeSent:          "probeSent",
+	NotRemembered:      "notRemembered",
+	SettingsReads:      "settingsReads",
+	TargetsReads:       "targetsReads",
+	ReadsFailed:        "readsFailed",
+	ReportsSent:        "reportsSent",
+	QuickAnswer:        "quickAnswer",
+	TargetMalformed:    "targetMalformed",
+	RequestPaced:       "requestPaced",
+	RefusedNoRoom:      "refusedNoRoom",
+	RefusedFull:        "refusedFull",
+	SentOn:             "sentOn",
+	RefusedOverload:    "refusedOverload",
+	DropStale:          "dropStale",
+	StoreRestored:      "storeRestored",
+	TargetSlow:         "targetSlow",
+	TrialFlow:          "trialFlow",
+	RefusedCallerShare: "refusedCallerShare",
+	RefusedCallerQuota: "refusedCallerQuota",
 }
 
 // Counts holds a number for each Count.
@@ -120,7 +126,9 @@
 	// as far as known, ConnectionPlaces how many there may be.
 	Connections      int
 	ConnectionPlaces int
-	Ready            bool
+	// Callers counts the addresses and prefixes of callers that are kept.
+	Callers int
+	Ready   bool
 }
 
 // Snapshot returns the present figures.
@@ -131,6 +139,7 @@
 	snapshot.Ready = s.Ready()
 	snapshot.Era = s.reading.era
 	snapshot.Paced = s.paced
+	snapshot.Callers = s.throttler.Kept()
 	snapshot.Evacuated = len(s.evacuator.Zones())
 	for _, v := range s.services {
 		if v.load.Pressed() {
--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -60,6 +60,13 @@
 	return estimator.Factor(s.speedZone(t.Service, t.AvailabilityZone).Excess() + t.pace.Slowness())
 }
 
+// slownessBesideSiblings is how much longer a target takes than the others of its zone,
+// 1 at the least. Unlike slowness it leaves out what all of them have in common: in a crowd
+// that is waiting, which takes nothing of what they can do.
+func (t *target) slownessBesideSiblings() float64 {
+	return estimator.Factor(max(t.pace.Slowness(), 0))
+}
+
 // expectAnswer notes when the answer to a request that begins is expected.
 func (s *Steerer) expectAnswer(key flowKey, f *flow) {
 	f.expected, f.assumed = 0, 0
@@ -260,16 +267,8 @@
 	}
 }
 
-// quickTargets lists the targets whose quick answers this host saw of late.
-func (s *Steerer) quickTargets() []uint32 {
-	var tags []uint32
-	for _, t := range s.targets.ordered() {
-		if t.failures.Recent(s.now) && len(tags) < maxQuick {
-			tags = append(tags, uint32(t.tag))
-		}
-	}
-	return tags
-}
+// quickOfLate reports whether this host saw quick answers of a target of late.
+func (s *Steerer) quickOfLate(t *target) bool { return t.failures.Recent(s.now) }
 
 // takePaces takes in how fast another host of the zone finds targets.
 func (s *Steerer) takePaces(from *peer, paces []messenger.TargetPace) {
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -24,6 +24,7 @@
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/recorder"
 	"cranberryspan.dev/core/sequencer"
+	"cranberryspan.dev/core/throttler"
 	"cranberryspan.dev/core/timekeeper"
 	"cranberryspan.dev/core/warmer"
 	"github.com/cespare/xxhash/v2"
@@ -60,6 +61,8 @@
 	// they bear in any one second.
 	ColdOverage   float64
 	ColdAllowance float64
+	// Quotas bound the requests of some callers.
+	Quotas []throttler.Quota
 	// MaxFlows bounds the flows that are remembered.
 	MaxFlows int
 	// LinkBytesPerSecond is what the host's link carries each way; 0 if unknown.
@@ -86,6 +89,8 @@
 	warmer    *warmer.Warmer
 	// diagnoser says how long silence has to last, and which zones have fallen silent.
 	diagnoser *diagnoser.Diagnoser
+	// throttler keeps what callers ask, and their quotas.
+	throttler *throttler.Throttler
 
 	targets table
 	// targetsPosition is the newest position of the platform's history that is reflected
@@ -128,6 +133,10 @@
 	toTargets []ToTarget
 	zoneViews []zoneView
 	counts    Counts
+	// own is what reports of the present event tell of the targets.
+	own ownNews
+	// selfHash is the hash of this host's name.
+	selfHash uint64
 }
 
 // New makes the steerer of a host that has just started and knows nothing.
@@ -139,7 +148,8 @@
 		now:      config.Start,
 		random:   rand.New(rand.NewPCG(config.Seed^own, config.Incarnation)),
 		removed:  map[netip.AddrPort]bool{},
-		targets:  newTable(),
+		targets:  newTable(config.AvailabilityZone),
+		selfHash: own,
 		flows:    map[flowKey]*flow{},
 		peers:    newPeers(),
 		usual:    map[string]*usualTime{},
@@ -150,6 +160,7 @@
 		evacuator: evacuator.New(),
 		warmer:    warmer.New(config.Self, config.Start),
 		diagnoser: diagnoser.New(),
+		throttler: throttler.New(config.Quotas),
 
 		connections: newConnections(config.Self, config.Start),
 	}
@@ -166,6 +177,7 @@
 	clear(s.effects)
 	s.effects = s.effects[:0]
 	s.toTargets = s.toTargets[:0]
+	s.own.known = false
 	s.advance(*event.at())
 	switch event := event.(type) {
 	case *CallerPacket:
@@ -207,6 +219,7 @@
 	s.targetsTick()
 	s.expireOrders()
 	s.peersTick()
+	s.shareQuotas()
 	s.readingTick()
 	s.askingTick()
 	s.leavingTick()
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -53,6 +53,9 @@
 		s.refuseWithoutTarget(p, c)
 		return
 	}
+	if f == nil && s.throttled(p, &route, service) {
+		return
+	}
 	if f == nil {
 		if why := s.refuses(route, service); why != notRefused {
 			s.refuseForRoom(p, route, service, why)
@@ -69,6 +72,7 @@
 			return
 		}
 		s.keepOpening(f, p)
+		s.notePassed(key, f)
 		s.watchOpening(key, to)
 	} else {
 		s.noteCopy(f, to)
@@ -82,9 +86,7 @@
 // What goes wrong if every copy goes where the first went: the target is silent
 // and the attempt ends after 1.4 s. If every copy goes elsewhere: the answer of
 // the first target was merely lost, and two targets believe in the flow. So a
-// copy goes elsewhere only if the first target has shown no life since. And if nothing of
-// its zone has, it goes to another zone: targets fail together, and a second copy at a
-// dead target leaves nothing of what callers hope for.
+// copy goes elsewhere only if the first target has shown no life since.
 func (s *Steerer) chooseForOpening(f *flow, c *choice) *target {
 	if f == nil {
 		return s.choose(*c)
@@ -94,9 +96,6 @@
 		return f.target
 	}
 	c.avoid = f.target
-	if s.diagnoser.Quiet(f.target.AvailabilityZone, f.openedAt, s.now) {
-		c.silentZone = f.target.AvailabilityZone
-	}
 	return s.choose(*c)
 }
 
@@ -151,7 +150,7 @@
 	}
 	s.sendTarget(to, 0, p.Data)
 	if p.Flags.Has(FlagReset) || p.Flags.Has(FlagEnd) {
-		s.close(f)
+		s.close(key, f)
 	}
 }
 
@@ -209,6 +208,7 @@
 		return true
 	}
 	f.pacedFor = 0
+	s.chargeRequest(p, f)
 	s.beginRequest(key, f, p.Data)
 	return false
 }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -160,6 +160,9 @@
 	s.dropPaced(f)' 'func (s *Steerer) close(f *flow) {' TestPacedRequestOfACallerThatHasGoneIsDropped
 without "refusals while others wait" steerer/admitting.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
 without "refusals while others wait" steerer/admitting.go 'return v.load.Pressed() && v.paced > 0' 'return false' TestNewFeedIsRefusedWhileOthersWait
+without "the end of a request whose caller has gone" steerer/flow.go 'func (s *Steerer) close(key flowKey, f *flow) {
+	s.dropPaced(f)' 'func (s *Steerer) close(key flowKey, f *flow) {' TestPacedRequestOfACallerThatHasGoneIsDropped
+without "refusals while others wait" steerer/pacing.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
 without "what waits at a host that leaves" steerer/leaving.go 's.passAllPaced(t, "leaving")' '_ = t' TestLeavingHostPassesOnWhatWaits
 without "resets of what waits for a silent target" steerer/health.go '!f.waiting && f.paced == nil' '!f.waiting' TestPacedRequestOfASilentTargetIsReset
 without "resets of what waits for a removed route" steerer/pacing.go 'if s.removed[r.key.service] {' 'if false {' TestPacedRequestOfARemovedRouteIsReset
@@ -202,8 +205,8 @@
 without "signs of life that end doubt" diagnoser/diagnoser.go 'z.gaps >= enoughGaps && z.heard <= since && now' 'z.gaps >= enoughGaps && now' TestOneCrashedTargetDoesNotEmptyItsZone
 without "distrust of late checks" steerer/health.go '(!s.trusts() || e.Took > lateCheck*h.patience)' '!s.trusts()' TestCheckThatTheHostHeldUpBlamesNobody
 without "word of silent targets" steerer/reports.go 'r.Silent = s.silentTargets()' '_ = s.silentTargets()' TestOtherHostsHearOfSilentTargets
-without "service of a zone that is cut off" steerer/orders.go 'return others >= 2 && !s.hearsOtherZones()' 'return false && !s.hearsOtherZones()' TestEvacuatedZoneThatIsCutOffServesItself
-without "orders that hold while hosts are heard" steerer/orders.go 'return others >= 2 && !s.hearsOtherZones()' 'return others >= 2' TestEvacuatedZoneThatIsCutOffServesItself
+without "service of a zone that is cut off" steerer/orders.go 'return others >= 2 && !s.peers.zones.hearsAny(s.now)' 'return false && !s.peers.zones.hearsAny(s.now)' TestEvacuatedZoneThatIsCutOffServesItself
+without "orders that hold while hosts are heard" steerer/orders.go 'return others >= 2 && !s.peers.zones.hearsAny(s.now)' 'return others >= 2' TestEvacuatedZoneThatIsCutOffServesItself
 without "orders that hold with one other zone" steerer/orders.go 'others >= 2 &&' 'others >= 1 &&' TestOrderHoldsWhenTheOnlyOtherZoneIsLost
 without "first reads that allow for transfers" steerer/reading.go 'return boundedWait(within, readShare, left)' 'return portion(within, readShare) + 0*left' TestNewSettingsReachSmallLinksInTime
 without "own reads that allow for transfers" steerer/asking.go 'return boundedWait(within, share, left)' 'return portion(within, share) + 0*left' TestNewSettingsReachSmallLinksInTime
@@ -297,6 +300,42 @@
 without "the own window of hosts out of touch" steerer/admitting.go 'InTouch: reach.heard}' 'InTouch: true}' TestHostOutOfTouchGoesByItsOwnWindow
 without "demand of other zones" steerer/admitting.go 'v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
 without "demand in reports" steerer/admitting.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
+package=steerer
+without "callers' shares" steerer/steering.go 'if f == nil && s.throttled(p, &route, service) {' 'if false && s.throttled(p, &route, service) {' 'TestCallerThatRepeatsWithoutPauseIsRefusedFirst|TestQuotaHoldsOverTheHostsOfAZone'
+without "shares only while room is short" steerer/throttling.go 'Short: s.shortOfRoom(service)}' 'Short: true || s.shortOfRoom(service)}' TestRefusalsOfACalmServiceAreNoShortage
+without "quotas over a zone" steerer/steerer.go '	s.shareQuotas()
+' '' TestQuotaHoldsOverTheHostsOfAZone
+without "requests of open flows in quotas" steerer/steering.go 's.chargeRequest(p, f)' '_ = p' TestRequestsOfOpenFlowsCountForAQuota
+
+package=steerer
+without "few names in reports to other zones" steerer/reports.go 'return maxFarHints' 'return maxHints' TestReportsToOtherZonesNameFewHosts
+without "turns with reports to other zones" steerer/reports.go 's.peers.rounds%turns != s.selfHash%turns' 'turns == 0' TestReportsBetweenZonesDoNotGrowWithTheFleet
+without "word of the zones heard" steerer/reports.go '			r.ZonesHeard = own.zonesHeard' '			_ = own.zonesHeard' TestHostsOfALargeZoneKnowTogetherWhichZonesAreSilent
+without "hosts by zone" steerer/peerzones.go 'z.byZone[p.zone] = slices.DeleteFunc' '_ = slices.DeleteFunc' TestHostsByZoneAgreeWithWhatIsKnownOfEach
+without "hosts that leave their zone" steerer/peerzones.go 'if p.leaving != leaving {
+		z.epoch++' 'if p.leaving != leaving {
+		z.epoch += 0' TestLeavingHostChangesItsZone
+without "the latest quick words" steerer/quickwords.go 'w[i].deadline < w[oldest].deadline' 'w[i].deadline > w[oldest].deadline' TestTwoQuickWordsSayWhatAllSay
+without "targets of the own zone first" steerer/table.go 'if one.AvailabilityZone != t.near {' 'if true {' TestTargetsOfTheOwnZoneComeFirst
+without "news worked out at each event" steerer/steerer.go 's.own.known = false' '_ = s.own.known' 'TestOtherHostsHearOfSilentTargets|TestQuickAnswersAreToldToTheZonesHosts'
+
+package=throttler
+without "max-min fairness" throttler/throttler.go 'verdict.Refused = verdict.Had >= max(' 'verdict.Refused = false && verdict.Had >= max(' 'TestOneCallerThatRepeatsWithoutPauseLeavesRoomToTheOthers|TestAddressesThatChangeAnswerTogether'
+without "weights" throttler/table.go '	if c.known {
+		return c.weight' '	if c.known {
+		return leastWeight' 'TestThousandsBehindOneAddressAreNotOneCaller|TestCallersWhoAskAlikeAreServedAlike'
+without "weights that stay in a shortage" throttler/throttler.go 'return s.calmDeadline.Passed(now)' 'return true || s.calmDeadline.Passed(now)' TestAddressesThatChangeAnswerTogether
+without "prefixes of new addresses" throttler/throttler.go 'if own, ok := s.addresses.callers.Get(key); ok {' 'if own := s.addresses.at(key, now); own != nil {' 'TestAddressesThatChangeAnswerTogether|TestAddressesThatComeOnceDoNotDisplaceOthers'
+without "shares that grow again" throttler/throttler.go 'b.level *= growth' 'b.level *= 1' TestOneCallerThatRepeatsWithoutPauseLeavesRoomToTheOthers
+without "crowds that ask alike" throttler/table.go 'return some.asked*d.weight > excess*d.asked*some.weight' 'return true' TestCallersWhoComeFromElsewhereAreServedAlike
+without "strangers that stand out together" throttler/table.go '|| (!c.known &&' '|| (false && !c.known &&' TestAddressesThatComeOnceDoNotDisplaceOthers
+without "the weight of those who come from elsewhere" throttler/table.go 'b.unknownWeight = max(sum/most, leastWeight)' 'b.unknownWeight = leastWeight + 0*sum/most' TestCallersWhoComeFromElsewhereAreServedAlike
+without "room for all" throttler/throttler.go 'if refused < leastRefused {' 'if false && refused < leastRefused {' TestNobodyIsRefusedWhileAllAreServed
+without "bounded services" throttler/throttler.go 'maxServices = 64' 'maxServices = 640' TestMemoryIsBounded
+without "bounded callers" throttler/throttler.go 'maxAddresses = 512' 'maxAddresses = 51200' TestMemoryIsBounded
+without "a bound on a quota's debt" throttler/quota.go '&& b.limiter.TokensAt(clock(now)) > -float64(atOnce) {' '&& atOnce > 0 {' TestRequestsOfOpenFlowsAreChargedWithinBounds
+without "a host's part of a quota" throttler/quota.go 'b.quota.PerSecond / float64(b.hosts)' 'b.quota.PerSecond' TestHostsOfAZoneShareAQuota
+without "quotas of a prefix" throttler/quota.go 'return !q.Prefix.IsValid() || q.Prefix.Contains(caller.Unmap())' 'return true' TestQuotasBoundThoseWhomTheyTouch
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
