--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -165,7 +165,7 @@
 without "the end of counts nobody else ends" steerer/load.go 'f.waitingSince == check.since {' 'false {' TestUnseenResetsDoNotHoldUpOthers
 without "refusals that are no failures" steerer/estimating.go 'quick && !pressed' 'quick' TestRefusalsOfAPressedServiceAreNoFailures
 without "distrust of what waited during a pause" steerer/steering.go 'if s.stale(p) {' 'if false {' TestHostThatStoodStillPassesNothingOldOn
-without "distrust of load after a pause" steerer/load.go '|| !s.pause.trustDeadline.Passed(s.now) {' '{' TestPausedHostDoesNotTakeItsOwnDelayForLoad
+without "distrust of load after a pause" steerer/load.go '|| !s.pause.trustDeadline.Passed(s.now) ||' '||' TestPausedHostDoesNotTakeItsOwnDelayForLoad
 without "one question at a time" steerer/asking.go '|| s.asking.asked || !s.asking' '|| !s.asking' TestOneQuestionIsUnderWayAtATime
 without "patience with other hosts" steerer/asking.go 'share := behindShare + behindSpread*s.ownPart()' 'share := 0.1 + 0*s.ownPart()' TestChangeIsAskedOfOtherHosts
 without "pauses that grow with the fleet" steerer/reading.go 'max(src.backoff, fleetPause)' 'src.backoff+0*fleetPause' TestOutageIsNotAskedAboutByAllHosts
