Overdue requests in no order; trials only where nothing else speaks against a target

Deadlines of routes with long requests held up the notice of a hanging target (TestLongRequestsDoNotHideAHangingTarget fails on the code before), and a trial could go to a doubted zone.

--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -39,8 +39,9 @@
 	// turn is from where the next report tells of them.
 	turn   int
 	trials estimator.Trials
-	// overdue are requests that may wait for longer than expected.
-	overdue flowChecks
+	// overdue are requests that may wait for longer than expected, in no order of their
+	// deadlines: those of routes with long requests must not hold up the others.
+	overdue []flowCheck
 }
 
 // speedZone returns what is known of a service's targets in a zone.
@@ -68,7 +69,7 @@
 		return
 	}
 	f.expected = time.Duration(float64(u.median) * estimator.Wait(f.target.underWay(), f.target.Slots))
-	s.estimating.overdue.add(flowCheck{key: key, since: s.now, deadline: s.now.Add(overdueTimes * f.expected)})
+	s.estimating.overdue = append(s.estimating.overdue, flowCheck{key: key, since: s.now, deadline: s.now.Add(overdueTimes * f.expected)})
 }
 
 // checkOverdue learns from requests that wait for longer than expected.
@@ -77,17 +78,23 @@
 // flows until the first of its answers comes. One notices by callers that all wait at one
 // target whose siblings are idle.
 func (s *Steerer) checkOverdue() {
-	s.estimating.overdue.eachDue(s.now, func(check flowCheck) {
+	overdue := s.estimating.overdue
+	kept := overdue[:0]
+	for _, check := range overdue {
 		f := s.flows[check.key]
-		if f == nil || !f.waiting || f.waitingSince != check.since || f.expected == 0 || !s.trusts() {
-			return
+		if f == nil || !f.waiting || f.waitingSince != check.since {
+			continue
+		}
+		if check.deadline.Passed(s.now) && s.trusts() {
+			waited := s.now.Since(f.waitingSince)
+			s.learnSpeed(f, waited)
+			check.deadline = s.now.Add(waited)
 		}
-		waited := s.now.Since(f.waitingSince)
-		s.learnSpeed(f, waited)
-		if waited < f.route.Timeout {
-			s.estimating.overdue.add(flowCheck{key: check.key, since: check.since, deadline: s.now.Add(waited)})
+		if f.route.Timeout <= 0 || !check.since.Add(f.route.Timeout).Passed(s.now) {
+			kept = append(kept, check)
 		}
-	})
+	}
+	s.estimating.overdue = kept
 }
 
 // learnSpeed learns from the time that a request took, or has been waiting for. Cold
@@ -172,10 +179,7 @@
 	}
 	var due *target
 	for _, t := range s.estimating.active {
-		if t.Service != c.service || t.AvailabilityZone != s.config.AvailabilityZone || !t.pace.TrialDue(s.now) {
-			continue
-		}
-		if s.excluded(t, views) != notExcluded || t.listedUnder == "" || !s.admits(t) || t.health.unreachable() || t.health.suspect || t.underWayPerSlot() >= 1 {
+		if t.Service != c.service || !t.pace.TrialDue(s.now) || !s.mayTry(t, views) {
 			continue
 		}
 		if due == nil || t.pace.Trial() < due.pace.Trial() {
@@ -193,6 +197,20 @@
 	return nil
 }
 
+// mayTry reports whether a slow target may get a trial: only if nothing else speaks against
+// it.
+func (s *Steerer) mayTry(t *target, views []zoneView) bool {
+	switch {
+	case t.AvailabilityZone != s.config.AvailabilityZone, t.listedUnder == "", views[t.zone].load() > 0:
+		return false
+	case s.excluded(t, views) != notExcluded, !s.admits(t):
+		return false
+	case t.health.unreachable(), t.health.suspect, t.toldSilent(s.now), s.failsWork(t):
+		return false
+	}
+	return t.underWayPerSlot() < 1
+}
+
 // noteAnswer learns from the time until an answer.
 //
 // What goes wrong otherwise: a target fails a part of its requests at once while its
--- a/core/steerer/estimating_test.go
+++ b/core/steerer/estimating_test.go
@@ -208,3 +208,51 @@
 	require.Equal(t, slow, logged(f, "a1", "targetQuickAgain"), "nothing was learned since")
 	require.InDelta(t, 1, statusOf(f, "a1", failing).Slowness, 0)
 }
+
+// Symptom: a trial goes to a target that has crashed. Sequence: a slow target without open
+// flows falls silent; it is due for a trial. Cause: trials that look at speed alone.
+func TestSilentTargetIsNotTried(t *testing.T) {
+	f := newFleet(t, 1)
+	learnUsual(f, "a1")
+	slowTarget(f, "a1", failing)
+	flows := openOn(f, "a1", failing, 60_000, true)
+	f.outcomes[failing] = steerer.ProbeSilent
+	flows.ask("a1")
+	f.step(200 * time.Millisecond)
+	flows.repeat("a1")
+	f.step(500 * time.Millisecond)
+	require.Contains(t, statusOf(f, "a1", failing).Avoided, "no answer")
+	for round := range 20 {
+		require.Zero(t, share(f, "a1", failing, 10_000+100*round))
+		f.step(100 * time.Millisecond)
+	}
+}
+
+// Symptom: a hanging target is found out seconds late. Sequence: requests that usually take
+// long are under way when it hangs. Cause: overdue requests that wait for their turn behind
+// those whose deadlines are later.
+func TestLongRequestsDoNotHideAHangingTarget(t *testing.T) {
+	f := newFleet(t, 1)
+	learnUsual(f, "a1")
+	long := func(n int) *caller {
+		c := f.caller(n, uploadRoute)
+		c.open("a1", 0)
+		c.establish("a1")
+		c.ask("a1")
+		return c
+	}
+	for n := range 25 {
+		c := long(33_000 + n)
+		f.step(time.Second)
+		c.thank("a1")
+		c.finish("a1")
+	}
+	learnUsual(f, "a1")
+	flows := flowsAt(f, "a1", failing, 2000, 5)
+	long(34_000)
+	for _, c := range flows {
+		c.ask("a1")
+	}
+	f.step(900 * time.Millisecond)
+	require.Greater(t, statusOf(f, "a1", failing).Slowness, 1.5)
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -244,6 +244,7 @@
 without "the speed of zones" steerer/choosing.go 's.speedZone(c.service, zone).Excess(),' '0,' TestSlowZoneSpillsOver
 without "word of slow targets" steerer/reports.go 's.takePaces(p, r.Paces)' '' TestSlowTargetsAreToldToTheZonesHosts
 without "requests that wait too long" steerer/estimating.go 's.learnSpeed(f, waited)' '_ = waited' TestHangingTargetIsSlowBeforeItAnswers
+without "trials that avoid silent targets" steerer/estimating.go 'case t.health.unreachable(), t.health.suspect, t.toldSilent(s.now), s.failsWork(t):' 'case false:' TestSilentTargetIsNotTried
 without "distrust of answers after a pause" steerer/estimating.go '!s.pause.trustDeadline.Passed(s.now) || s.cold(t)' 's.cold(t)' TestFrozenHostBlamesNoTarget
 without "pressure that leaves out slow targets" steerer/load.go '|| s.answersSlowly(f.target) {' '{' TestSlowTargetsDoNotPressTheirService
 without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target))' 'pressed)' TestUsualDoesNotFollowSlowTargets
