--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -169,7 +169,7 @@
 without "the end of counts nobody else ends" steerer/load.go 'f.waitingSince == check.since {' 'false {' TestUnseenResetsDoNotHoldUpOthers
 without "refusals that are no failures" steerer/estimating.go 'quick && !pressed' 'quick' TestRefusalsOfAPressedServiceAreNoFailures
 without "distrust of what waited during a pause" steerer/steering.go 'if s.stale(p) {' 'if false {' TestHostThatStoodStillPassesNothingOldOn
-without "distrust of load after a pause" steerer/load.go '|| !s.pause.trustDeadline.Passed(s.now) {' '{' TestPausedHostDoesNotTakeItsOwnDelayForLoad
+without "distrust of load after a pause" steerer/load.go '|| !s.pause.trustDeadline.Passed(s.now) ||' '||' TestPausedHostDoesNotTakeItsOwnDelayForLoad
 without "one question at a time" steerer/asking.go '|| s.asking.asked || !s.asking' '|| !s.asking' TestOneQuestionIsUnderWayAtATime
 without "patience with other hosts" steerer/asking.go 'share := behindShare + behindSpread*s.ownPart()' 'share := 0.1 + 0*s.ownPart()' TestChangeIsAskedOfOtherHosts
 without "pauses that grow with the fleet" steerer/reading.go 'max(src.backoff, fleetPause)' 'src.backoff+0*fleetPause' TestOutageIsNotAskedAboutByAllHosts
@@ -267,6 +267,7 @@
 without "the speed of zones" steerer/choosing.go 's.speedZone(c.service, zone).Excess(),' '0,' TestSlowZoneSpillsOver
 without "word of slow targets" steerer/reports.go 's.takePaces(p, r.Paces)' '' TestSlowTargetsAreToldToTheZonesHosts
 without "requests that wait too long" steerer/estimating.go 's.learnSpeed(f, waited)' '_ = waited' TestHangingTargetIsSlowBeforeItAnswers
+without "trials that avoid silent targets" steerer/estimating.go 'case t.health.unreachable(), t.health.suspect, t.toldSilent(s.now), s.failsWork(t):' 'case false:' TestSilentTargetIsNotTried
 without "distrust of answers after a pause" steerer/estimating.go '!s.pause.trustDeadline.Passed(s.now) || s.cold(t)' 's.cold(t)' TestFrozenHostBlamesNoTarget
 without "pressure that leaves out slow targets" steerer/load.go '|| s.answersSlowly(f.target) {' '{' TestSlowTargetsDoNotPressTheirService
 without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target))' 'pressed)' TestUsualDoesNotFollowSlowTargets
