--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -82,7 +82,8 @@
 
 // View is what a host knows of a service besides demand.
 type View struct {
-	// Room is how many slots its living targets have, in slots of usual speed.
+	// Room is how many slots its living targets have, in slots of usual speed; 0 if none is
+	// believed to live: a caller that is let in all the same loses nothing then.
 	Room float64
 	// ZoneHosts is how many hosts of the own zone live, this one among them.
 	ZoneHosts int
@@ -179,7 +180,7 @@
 	a.noteShares(now)
 	a.demand = a.firstTries(a.fleet(now))
 	before := a.short
-	a.short = view.InTouch && a.wait >= idleWait && a.demand.Total() > a.Room()
+	a.short = view.InTouch && view.Room > 0 && a.wait >= idleWait && a.demand.Total() > a.Room()
 	if a.short && !before {
 		a.settledDeadline = now.Add(settleSpan)
 	}
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -139,3 +139,13 @@
 	require.InDelta(t, wanted, a.Demand().Total(), 0.05*wanted)
 	require.InDelta(t, room/wanted, 1-cube(1-a.Share(1)), 0.05, "two in three callers are served")
 }
+
+// Symptom: all callers are refused in an outage that is over. Sequence: a host believes
+// that no target lives; one does. Cause: a share of no room.
+func TestWithoutKnownRoomNobodyIsRefused(t *testing.T) {
+	var demand admitter.Demand
+	demand.New[1] = 50
+	a := shortOf(0, demand)
+	require.False(t, a.Short())
+	require.True(t, a.Admit(1))
+}
--- /dev/null
+++ b/core/steerer/room.go
@@ -0,0 +1,200 @@
+package steerer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cranberryspan.dev/core/admitter"
+	"cranberryspan.dev/core/timekeeper"
+)
+
+const (
+	// assessEvery is how old the view of a service's room may be. Reports change it about
+	// as often.
+	assessEvery = 50 * time.Millisecond
+	// zoneHostMemory is how long a report of any host of another zone shows that the
+	// zone's targets can be reached.
+	zoneHostMemory = 4 * time.Second
+)
+
+// room is what a host knows of the room of a service.
+type room struct {
+	admitter *admitter.Admitter
+	// assessDeadline is when the view is next to be made anew.
+	assessDeadline timekeeper.Instant
+	// opening is the usual time until a flow opens: what answers take besides work.
+	opening usualTime
+	// work holds the usual time of work, by route: the median, with what requests wait on
+	// calm days, is close to the mean of the work alone.
+	work map[string]*usualTime
+}
+
+// noteOpeningTime takes in how long a flow took to open.
+func (s *Steerer) noteOpeningTime(f *flow) {
+	if !f.copied {
+		s.service(f.target.Service).room.opening.add(s.now.Since(f.openedAt), false)
+	}
+}
+
+// work is for how long a request of a route keeps a slot busy on average; 0 if unknown.
+// What an answer takes on its way is what a flow takes to open.
+func (s *Steerer) work(route Route, v *service) time.Duration {
+	w, ok := v.room.work[route.Name]
+	if !ok || !w.known() || route.LatencyObjective <= w.median {
+		return 0
+	}
+	return w.median
+}
+
+// learnRoom learns from an answer how long requests wait at a service.
+func (s *Steerer) learnRoom(f *flow, took time.Duration) {
+	u, ok := s.usual[f.route.Name]
+	if !ok || !s.pause.trustDeadline.Passed(s.now) {
+		return
+	}
+	v := s.service(f.target.Service)
+	a := v.room.admitter
+	if !u.tooQuick(took) {
+		v.room.learnWork(f.route.Name, took)
+	}
+	spare := f.route.LatencyObjective - u.median
+	switch {
+	case !u.known():
+	case spare <= 0:
+	case u.tooQuick(took):
+		if a.Short() {
+			a.Answered(1) // A full target has turned the request away.
+		}
+	default:
+		a.Answered(float64(took-u.median) / float64(spare))
+	}
+}
+
+// learnWork learns from an answer how long work takes. While many slots are taken, answers
+// tell more of waiting than of work.
+func (r *room) learnWork(route string, took time.Duration) {
+	w, ok := r.work[route]
+	if !ok {
+		w = &usualTime{}
+		r.work[route] = w
+	}
+	w.add(max(took-r.opening.median, shortestUsual), r.admitter.Tells() || r.admitter.Waits())
+}
+
+// assess brings the view of a service's room up to date.
+func (s *Steerer) assess(v *service) {
+	if !v.room.assessDeadline.Passed(s.now) {
+		return
+	}
+	v.room.assessDeadline = s.now.Add(assessEvery)
+	a := v.room.admitter
+	reach := s.look()
+	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.heard}
+	if !a.Assess(s.now, view) {
+		return
+	}
+	event := "serviceFits"
+	if a.Short() {
+		event = "serviceShort"
+	}
+	s.log(event, field("service", v.name), field("room", slotsText(a.Room())), field("slots", slotsText(view.Room)),
+		field("demand", slotsText(a.Demand().Total())), field("wait", fmt.Sprintf("%.2f", a.Wait())), field("zoneHosts", itoa(view.ZoneHosts)))
+}
+
+// assessTick brings the views of services up to date that may run short; those of others
+// follow what is asked and told.
+func (s *Steerer) assessTick() {
+	for _, name := range s.askedServices() {
+		if v := s.services[name]; v.room.admitter.Tells() || v.room.admitter.Short() {
+			s.assess(v)
+		}
+	}
+}
+
+// askedServices lists the services of which anything is known, so that equal events give
+// equal effects.
+func (s *Steerer) askedServices() []string {
+	names := make([]string, 0, len(s.services))
+	for name := range s.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// roomOf adds up the slots of a service's targets that live, as far as this host knows, in
+// slots of usual speed.
+func (s *Steerer) roomOf(service string) float64 {
+	sum := 0.0
+	views := s.views(&choice{service: service})
+	reach := s.look()
+	for _, t := range s.targets.byService[service] {
+		zone := &views[t.zone]
+		lost := t.health.unreachable() || t.health.suspect || t.toldSilent(s.now)
+		if t.Draining || s.gone(t) || lost || zone.evacuated || zone.doubted || reach.unheard(t.AvailabilityZone) {
+			continue
+		}
+		speed := 1 / s.slowness(t)
+		if s.cold(t) {
+			speed /= warmingLoad
+		}
+		sum += float64(max(t.Slots, 1)) * speed
+	}
+	return sum
+}
+
+// reach is which hosts and zones are heard from. All services share it: looking at each
+// host for each of them would cost most of what admission costs.
+type reach struct {
+	deadline timekeeper.Instant
+	// living counts the other hosts of the own zone that live as far as anybody says, heard
+	// says that one of them has reported of late.
+	living int
+	heard  bool
+	// known are the other zones of which a host has ever been heard, fresh those of which
+	// one has been of late.
+	known map[string]bool
+	fresh map[string]bool
+}
+
+// unheard reports whether another zone has hosts and none has been heard of late: what is
+// asked there is not known, and its targets may be out of reach.
+func (r *reach) unheard(zone string) bool { return r.known[zone] && !r.fresh[zone] }
+
+// look brings up to date which hosts and zones are heard from.
+func (s *Steerer) look() *reach {
+	r := &s.reach
+	if !r.deadline.Passed(s.now) {
+		return r
+	}
+	*r = reach{deadline: s.now.Add(assessEvery), known: map[string]bool{}, fresh: map[string]bool{}}
+	silence := s.mentionSilence()
+	for _, p := range s.peers.ordered() {
+		switch {
+		case p.zone != s.config.AvailabilityZone:
+			r.known[p.zone] = r.known[p.zone] || p.heard != 0
+			r.fresh[p.zone] = r.fresh[p.zone] || (p.heard != 0 && s.now.Since(p.heard) < zoneHostMemory)
+		case p.mentioned(s.now, silence):
+			r.living++
+			r.heard = r.heard || p.hears(s.now)
+		}
+	}
+	return r
+}
+
+// addRoom adds to a snapshot how full services are.
+func (s *Steerer) addRoom(snapshot *Snapshot) {
+	fullest := 0.0
+	for _, v := range s.services {
+		a := v.room.admitter
+		if s.short(v.name) {
+			snapshot.Short++
+		}
+		demand, room := a.Demand().Total(), a.Room()
+		if demand > fullest*room {
+			fullest = demand / max(room, 1)
+			snapshot.Demand, snapshot.Room = demand, room
+		}
+	}
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -235,9 +235,9 @@
 
 package=steerer
 without "refusals when nothing is left" steerer/admitting.go 'case a.Known() && a.Share(route.Priority) <= 0' 'case false' TestNothingLeftForReadsRefusesThemAtOnce
-without "the own window of hosts out of touch" steerer/admitting.go 'InTouch: reach.heard}' 'InTouch: true}' TestHostOutOfTouchGoesByItsOwnWindow
-without "demand of other zones" steerer/admitting.go 'v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
-without "demand in reports" steerer/admitting.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
+without "the own window of hosts out of touch" steerer/room.go 'InTouch: reach.heard}' 'InTouch: true}' TestHostOutOfTouchGoesByItsOwnWindow
+without "demand of other zones" steerer/demands.go 'v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
+without "demand in reports" steerer/demands.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
