--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -337,6 +337,9 @@
 without "a bound on a quota's debt" throttler/quota.go '&& b.limiter.TokensAt(clock(now)) > -float64(atOnce) {' '&& atOnce > 0 {' TestRequestsOfOpenFlowsAreChargedWithinBounds
 without "a host's part of a quota" throttler/quota.go 'b.quota.PerSecond / float64(b.hosts)' 'b.quota.PerSecond' TestHostsOfAZoneShareAQuota
 without "quotas of a prefix" throttler/quota.go 'return !q.Prefix.IsValid() || q.Prefix.Contains(caller.Unmap())' 'return true' TestQuotasBoundThoseWhomTheyTouch
+without "the own window of hosts out of touch" steerer/room.go 'InTouch: reach.heard}' 'InTouch: true}' TestHostOutOfTouchGoesByItsOwnWindow
+without "demand of other zones" steerer/demands.go 'v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
+without "demand in reports" steerer/demands.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
