Copies at full targets are looked at as first packets are; targets found full are remembered for a second

Cause: a target may be checked once a second only, and copies were never looked at after a round trip, so that callers waited for their next repeat.

--- a/core/steerer/connections_test.go
+++ b/core/steerer/connections_test.go
@@ -263,6 +263,35 @@
 	require.Positive(t, s.logged("a1", "flowSentOn"), "the host sends it on before its caller repeats it")
 }
 
+// Symptom: some callers still wait for their repeats at a target that was found full.
+// Sequence: a flow of this host ends there, and another host takes the place first. Cause: the
+// target may be checked once a second only.
+func TestTargetThatWasJustFoundFullIsNotWaitedFor(t *testing.T) {
+	s := newShop(t, 20, 1)
+	for range 60 {
+		require.True(t, s.arrive("a1", false))
+		s.step(steerer.TickEvery)
+	}
+	const full = "i-10000001"
+	s.held[full] = s.bound
+	s.mark()
+	for s.logged("a1", "flowSentOn") == 0 {
+		require.True(t, s.arrive("a1", false))
+	}
+	for range 20 {
+		for at, v := range s.open {
+			if v.target == full {
+				s.leave(at, false)
+				break
+			}
+		}
+		s.held[full] = s.bound
+		s.mark()
+		require.True(t, s.arrive("a1", false))
+	}
+	require.Zero(t, s.repeats)
+}
+
 // Symptom: flows are refused although targets are half empty. Sequence: callers lose power
 // and end without a word. Cause: their flows count for good. They end with the idle time.
 func TestFlowsThatEndWithoutAWordAreForgotten(t *testing.T) {
--- a/core/steerer/crowding.go
+++ b/core/steerer/crowding.go
@@ -21,6 +21,15 @@
 	return v != nil && !f.opened && s.belief(f.target, v).Sum() >= v.bound-v.bound/mostReserved
 }
 
+// watchCopy looks at a copy of an opening packet as at the first, if its target may be full,
+// too: the caller's next copy comes 400 ms later.
+func (s *Steerer) watchCopy(key flowKey, f *flow) {
+	if f.request != nil {
+		f.openedAt = s.now
+		s.watchOpening(key, f.target)
+	}
+}
+
 // checkFull checks the target of a flow that should have opened by now, if its service is
 // short of connections.
 //
@@ -32,7 +41,8 @@
 	if v == nil || f.request == nil || !s.trusts() {
 		return
 	}
-	if s.belief(f.target, v).Sum() >= v.bound {
+	full := f.target.foundFullAt != 0 && s.now.Since(f.target.foundFullAt) < probeEvery
+	if full || s.belief(f.target, v).Sum() >= v.bound {
 		s.sendOn(key, f)
 		return
 	}
@@ -60,6 +70,7 @@
 		s.releasePlace(s.flows[key]) // It holds no place there.
 	}
 	before := s.belief(t, v)
+	t.foundFullAt = s.now
 	s.connections.limiter.Full(s.connections.limiter.Target(uint32(t.tag)), v.bound, s.guess(t, v), s.now)
 	s.logConnections("targetFull", t, v, s.belief(t, v), field("cause", "checkCut"), field("believed", itoa(before.Sum())), field("waiting", itoa(len(keys))))
 	for _, key := range keys {
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -155,7 +155,7 @@
 	})
 	s.opening.eachDue(s.now, func(check flowCheck) {
 		f := s.flows[check.key]
-		if f == nil || f.opened || f.lastPacket != f.openedAt {
+		if f == nil || f.opened || f.copied || f.lastPacket != f.openedAt {
 			return
 		}
 		s.noteStall(f.target, "openingRefused", f.openedAt)
--- a/core/steerer/life.go
+++ b/core/steerer/life.go
@@ -33,6 +33,7 @@
 	}
 	t.health = health{}
 	t.full = false
+	t.foundFullAt = 0
 	s.connections.limiter.Forget(uint32(t.tag))
 	t.toldSilentDeadline = 0
 	t.quick = quickness{}
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -70,6 +70,7 @@
 		s.watchOpening(key, to)
 	} else {
 		s.noteCopy(f, to)
+		s.watchCopy(key, f)
 	}
 	s.logPlacement(p, f, to)
 	s.sendTarget(to, to.tag, p.Data)
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -107,6 +107,8 @@
 
 	// full says that the target was last believed to hold all the flows that it may.
 	full bool
+	// foundFullAt is when a check last showed that it was full.
+	foundFullAt timekeeper.Instant
 
 	health health
 	quick  quickness
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -241,6 +241,7 @@
 without "places for higher priority" steerer/connections.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
 without "places for checks" steerer/connections.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
 without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
+without "memory of targets found full" steerer/crowding.go 'full := f.target.foundFullAt != 0' 'full := false && f.target.foundFullAt != 0' TestTargetThatWasJustFoundFullIsNotWaitedFor
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
 without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
 
