--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -58,7 +58,7 @@
 	// stand idle between two requests.
 	aimedWait = 0.4
 	// idleWait is the mean wait below which nobody is refused: targets have slots free.
-	idleWait = 0.1
+	idleWait = 0.25
 	// waitStep is the part of each answer in the mean wait: some ten answers, a few tenths
 	// of a second at a host under load.
 	waitStep = 0.1
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -29,7 +29,7 @@
 // What goes wrong if all get in: their callers wait for answers that can't be in time, and
 // take the places of those that can. Nothing has run, so who doesn't get in is told at
 // once. A host that hears no other goes by what waits at itself.
-func (s *Steerer) refuses(route Route, service string) refusal {
+func (s *Steerer) refuses(route Route, service string, to *target) refusal {
 	v := s.service(service)
 	s.assess(v)
 	a := v.room.admitter
@@ -42,12 +42,17 @@
 		}
 	case a.Known() && a.Share(route.Priority) <= 0:
 		return refusedNoRoom // Higher priorities need all of it.
-	case fits && s.wouldBeLate(v), !fits && s.wouldWait(v):
+	case fits && !to.hasFreeSlot() && s.wouldBeLate(v), !fits && s.wouldWait(v):
 		return refusedOverload
 	}
 	return notRefused
 }
 
+// hasFreeSlot reports whether a target could work on one more request at once, as far as the
+// zone's hosts know. What waits at this host then waits for other targets, as the requests of
+// open flows at slow ones do, and is no ground to refuse a flow that goes elsewhere.
+func (t *target) hasFreeSlot() bool { return t.underWay() < t.Slots && !t.pace.Slow() }
+
 // wouldWait reports whether the request of a new flow would wait behind others that wait
 // at this host already. Open flows can't be refused; with fewer of them less has to wait.
 func (s *Steerer) wouldWait(v *service) bool { return v.load.Pressed() && v.paced > 0 }
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if f == nil {
-		if why := s.refuses(route, service); why != notRefused {
+		if why := s.refuses(route, service, to); why != notRefused {
 			s.refuseForRoom(p, route, service, why)
 			return
 		}
