--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -97,13 +97,15 @@
 	Service string
 	// Flows is how many flows are open at the service's targets.
 	Flows uint32
-	// Asked is what new requests of each priority would keep busy.
+	// Asked is what requests of each priority would keep busy.
 	Asked []PriorityDemand
 }
 
 // PriorityDemand is what callers of one priority ask.
 type PriorityDemand struct {
-	_        struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Priority is that of the routes. What open flows ask at priority p, which can't be
+	// refused, is told as -1-p.
 	Priority int
 	// MilliSlots is the work asked for, in thousandths of a slot: requests a second times
 	// the time that a target works on one.
