--- a/core/steerer/connections_test.go
+++ b/core/steerer/connections_test.go
@@ -336,6 +336,28 @@
 	require.Equal(t, probes, s.probes, "nobody has to try what is full")
 }
 
+// Load: a zone's callers fill its targets, then the other zone's callers ask for more than
+// theirs hold. Symptom: these meet one full target after the other across the zones. Cause:
+// a host knows only its own flows at another zone's targets.
+func TestZonesTellEachOtherHowFullTheyAre(t *testing.T) {
+	s := newShop(t, 20, 1, 1)
+	for range 60 {
+		s.arrive("b1", true)
+		s.step(steerer.TickEvery)
+	}
+	probes := s.probes
+	for n := range 90 {
+		s.arrive("a1", true)
+		s.step(steerer.TickEvery)
+		if n%20 == 0 {
+			s.keepAlive()
+		}
+	}
+	require.Zero(t, s.late)
+	require.Positive(t, s.refused)
+	require.LessOrEqual(t, s.probes-probes, 3)
+}
+
 // Symptom: a crowd of openings meets full targets when hosts start again. Sequence: two of
 // three hosts are killed and start again at once. Cause: a host that has started remembers
 // none of its callers' flows.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -243,6 +243,7 @@
 without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
 without "memory of targets found full" steerer/crowding.go 'full := f.target.foundFullAt != 0' 'full := false && f.target.foundFullAt != 0' TestTargetThatWasJustFoundFullIsNotWaitedFor
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
+without "word of full zones" steerer/reports.go 's.addZoneFlows(r)' '_ = r' TestZonesTellEachOtherHowFullTheyAre
 without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
 
 echo "$passed passed, $failed failed"
