--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -1,12 +1,10 @@
 package steerer
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"cranberryspan.dev/core/limiter"
-	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/timekeeper"
 )
 
@@ -21,34 +19,11 @@
 	// growthLooks is over how many looks flows are taken to have grown unheard: half of the
 	// time that a host's news is old at the most.
 	growthLooks = 2
-	// checkPlaces are left free at each target, for liveness checks and for routes whose flows
-	// end soon.
-	checkPlaces = 1
-	// reservedShare of a target's places is kept from each class of flows for those of
-	// higher priority: as many as come while a host's news is on its way.
-	reservedShare = 0.05
-	// briefSpan is within what time of its opening packet a brief flow leaves its place: that
-	// of a request or two, and far less than flows idle.
-	briefSpan = 2 * time.Second
-	// briefShare is the part of a route's flows that have to be brief for all to count so.
-	briefShare = 0.5
-	// manyBriefShare is the part of the flows asked for beyond which places are reserved for
-	// brief ones. useMemory is what is left of what was asked for and placed at each look:
-	// that of some seconds.
-	manyBriefShare = 0.1
-	useMemory      = 0.95
-	// mostReserved is the part of a target's places that is kept back at most: a quarter.
-	mostReserved = 4
 	// connectionLoad times the flows over the places that are left is what a target's
 	// connections add to its load, in requests a slot: at half of its places a target is
 	// worth a tenth of a request more, at nine tenths a whole one, as much as another zone
 	// costs.
 	connectionLoad = 0.1
-	// maxToldFlows bounds the targets of which one report tells, so that it fits a datagram.
-	maxToldFlows = 120
-	// zoneFlowsMemory is how long what another zone tells of its targets counts: one of its
-	// hosts is heard each half second in a larger fleet.
-	zoneFlowsMemory = 5 * time.Second
 	// maxOpening is how long a flow that does not open holds a place: callers give up after
 	// 1.4 s.
 	maxOpening = 1500 * time.Millisecond
@@ -72,18 +47,6 @@
 	heard timekeeper.Instant
 }
 
-// routeUse is what a route's callers do with a service through this host.
-type routeUse struct {
-	priority int
-	// held counts their flows that hold places.
-	held int
-	// asked counts the flows that they have asked for of late, opened those that opened, and
-	// left those of them that left their places within briefSpan.
-	asked  float64
-	opened float64
-	left   float64
-}
-
 // tightService is a service whose targets may run out of connections.
 type tightService struct {
 	name string
@@ -98,89 +61,18 @@
 	// flows is how many are open as far as known, places how many there may be.
 	flows  int
 	places int
-	// home is what the targets of this host's zone hold, away the mean of what those of
-	// other zones do, by word of these.
+	// home stands for flows at this zone's targets of which nobody tells, homeMean is how
+	// many flows each of these has on average.
 	home     limiter.Guess
 	homeMean int
 	// net is what this host had placed at the zone's targets at its last looks.
 	net []int
 }
 
-// zoneFlows is what another zone tells of a service.
-type zoneFlows struct {
-	mean     int
-	deadline timekeeper.Instant
-}
-
-type zoneService struct{ zone, service string }
-
 func newConnections(self string, start timekeeper.Instant) connections {
 	return connections{limiter: limiter.New(self, start, defaultIdle), tight: map[string]*tightService{}, uses: map[string]map[string]*routeUse{}, away: map[zoneService]zoneFlows{}}
 }
 
-// takePlace counts a flow at its target until releasePlace takes it back.
-func (s *Steerer) takePlace(f *flow) {
-	if f.place != nil {
-		return
-	}
-	f.place = s.connections.limiter.Target(uint32(f.target.tag))
-	if f.opened {
-		f.place.Seen()
-	} else {
-		f.place.Placed(s.now)
-	}
-	s.use(f.target.Service, &f.route).held++
-}
-
-func (s *Steerer) releasePlace(f *flow) {
-	if f.place == nil {
-		return
-	}
-	f.place.Ended(s.now)
-	f.place = nil
-	use := s.use(f.target.Service, &f.route)
-	use.held--
-	if f.opened && s.now.Since(f.openedAt) < briefSpan {
-		use.left++
-	}
-}
-
-func (s *Steerer) use(service string, route *Route) *routeUse {
-	routes := s.connections.uses[service]
-	if routes == nil {
-		routes = map[string]*routeUse{}
-		s.connections.uses[service] = routes
-	}
-	use := routes[route.Name]
-	if use == nil {
-		use = &routeUse{}
-		routes[route.Name] = use
-	}
-	use.priority = route.Priority
-	return use
-}
-
-// boundFor is how many flows a target may have for one more of a route to be placed.
-//
-// What goes wrong if all flows are alike: those that last collect at the targets until there
-// is room for nothing else, and callers with short flows, or with more urgent ones, find
-// every place taken by flows that idle. Short flows may use the place that is kept for
-// checks, since both leave it at once.
-func (v *tightService) boundFor(route *Route) limiter.Bound {
-	if v.brief[route.Name] {
-		return limiter.Bound{Flows: v.bound, Brief: true}
-	}
-	rank := 0
-	if v.manyBrief {
-		rank++
-	}
-	for at := 0; at < len(v.priorities) && v.priorities[at] < route.Priority; at++ {
-		rank++
-	}
-	step := int(reservedShare*float64(v.bound) + 0.5)
-	return limiter.Bound{Flows: v.bound, Reserved: min(checkPlaces+rank*step, v.bound/mostReserved)}
-}
-
 // belief is what is known of the flows at a target of a tight service.
 func (s *Steerer) belief(t *target, v *tightService) limiter.Belief {
 	return s.connections.limiter.Belief(s.connections.limiter.Target(uint32(t.tag)), v.bound, s.guess(t, v), s.now)
@@ -362,123 +254,3 @@
 	}
 	s.logTarget(event, t, append(fields, inputs...)...)
 }
-
-// sortRoutes tells the routes whose flows last from those whose flows are brief, by what
-// this host's callers do.
-func (s *Steerer) sortRoutes(v *tightService) {
-	v.brief = map[string]bool{}
-	asked, brief := 0.0, 0.0
-	uses := s.connections.uses[v.name]
-	for _, route := range slices.Sorted(maps.Keys(uses)) {
-		use := uses[route]
-		if use.idle() {
-			delete(uses, route)
-			continue
-		}
-		asked += use.asked
-		switch {
-		case use.brief():
-			v.brief[route] = true
-			brief += use.asked
-		case !slices.Contains(v.priorities, use.priority):
-			v.priorities = append(v.priorities, use.priority)
-		}
-		use.asked *= useMemory
-		use.opened *= useMemory
-		use.left *= useMemory
-	}
-	slices.Sort(v.priorities)
-	v.manyBrief = brief > manyBriefShare*asked
-}
-
-// brief reports whether most of a route's flows leave their places soon. It stays true while
-// none opens: what they did fades alike.
-func (u *routeUse) brief() bool { return u.left > briefShare*u.opened }
-
-// idle reports whether a route's callers have not used a service of late.
-func (u *routeUse) idle() bool { return u.held == 0 && u.asked < 1 }
-
-// toldFlows is what a host is told of this host's flows, by target: one of the own zone of
-// all, others of those in their zone. Nobody is told of services that have plenty.
-func (s *Steerer) toldFlows(to *peer) map[uint32]uint16 {
-	if len(s.connections.tight) == 0 || to.zone == "" {
-		return nil
-	}
-	var tags []uint32
-	for _, t := range s.targets.ordered() {
-		near := to.zone == s.config.AvailabilityZone || to.zone == t.AvailabilityZone
-		if near && s.connections.tight[t.Service] != nil && !s.gone(t) {
-			tags = append(tags, uint32(t.tag))
-		}
-	}
-	if len(tags) > maxToldFlows {
-		c := &s.connections
-		c.turn = (c.turn + maxToldFlows) % len(tags)
-		tags = append(tags[c.turn:], tags[:c.turn]...)[:maxToldFlows]
-	}
-	flows := s.connections.limiter.Flows(tags)
-	if len(flows) == 0 && len(tags) > 0 {
-		flows[tags[0]] = 0 // A host that tells nothing is taken to hold what others do.
-	}
-	return flows
-}
-
-// addZoneFlows tells a host of another zone how many flows the targets of this zone have on
-// average, of services that are short of connections.
-//
-// What goes wrong otherwise: a zone's targets are full, and its hosts send their callers to
-// another zone's, of which they know only their own flows. One notices by targets that turn
-// out to be full though believed to be empty.
-func (s *Steerer) addZoneFlows(r *messenger.Report) {
-	for _, name := range s.tightNames() {
-		v := s.connections.tight[name]
-		at := slices.IndexFunc(r.ZoneDemands, func(d messenger.ServiceDemand) bool { return d.Service == name })
-		if at < 0 {
-			at = len(r.ZoneDemands)
-			r.ZoneDemands = append(r.ZoneDemands, messenger.ServiceDemand{Service: name})
-		}
-		r.ZoneDemands[at].Flows = uint32(v.homeMean)
-	}
-}
-
-func (s *Steerer) tightNames() []string {
-	var names []string
-	for name := range s.connections.tight {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-// takeZoneFlows takes in what another zone tells of the flows at its targets.
-func (s *Steerer) takeZoneFlows(r *messenger.Report) {
-	if r.AvailabilityZone == s.config.AvailabilityZone {
-		return
-	}
-	for _, d := range r.ZoneDemands {
-		if d.Flows > 0 {
-			key := zoneService{r.AvailabilityZone, d.Service}
-			s.connections.away[key] = zoneFlows{mean: int(d.Flows), deadline: s.now.Add(zoneFlowsMemory)}
-		}
-	}
-}
-
-// takeFlows takes in which flows another host has.
-func (s *Steerer) takeFlows(p *peer, r *messenger.Report) {
-	s.takeZoneFlows(r)
-	if len(r.Flows) == 0 {
-		return
-	}
-	flows := make(map[uint32]uint16, len(r.Flows))
-	for tag, n := range r.Flows {
-		if t, ok := s.told(p, tag); ok {
-			flows[tag] = n
-			if s.connections.tight[t.Service] == nil {
-				s.connections.deadline = 0
-			}
-		}
-	}
-	s.connections.heard = s.now
-	near := p.zone == s.config.AvailabilityZone
-	s.connections.limiter.Take(p.name, limiter.Word{Incarnation: r.Incarnation, Near: near, Flows: flows}, s.now)
-}
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -157,6 +157,7 @@
 		if t.missing && t.flows == 0 && t.missingSince.Add(missingMemory).Passed(s.now) {
 			s.targets.remove(t)
 			s.warmer.Forget(t.ID)
+			s.connections.limiter.Forget(uint32(t.tag))
 		}
 	}
 }
--- /dev/null
+++ b/core/steerer/places.go
@@ -0,0 +1,140 @@
+package steerer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cranberryspan.dev/core/limiter"
+)
+
+const (
+	// checkPlaces are left free at each target, for liveness checks and for routes whose flows
+	// end soon.
+	checkPlaces = 1
+	// reservedShare of a target's places is kept from each class of flows for those of
+	// higher priority: as many as come while a host's news is on its way.
+	reservedShare = 0.05
+	// briefSpan is within what time of its opening packet a brief flow leaves its place: that
+	// of a request or two, and far less than flows idle.
+	briefSpan = 2 * time.Second
+	// briefShare is the part of a route's flows that have to be brief for all to count so.
+	briefShare = 0.5
+	// manyBriefShare is the part of the flows asked for beyond which places are reserved for
+	// brief ones. useMemory is what is left of what was asked for and placed at each look:
+	// that of some seconds.
+	manyBriefShare = 0.1
+	useMemory      = 0.95
+	// mostReserved is the divisor of the most that is kept back: a quarter of the places.
+	mostReserved = 4
+)
+
+// routeUse is what a route's callers do with a service through this host.
+type routeUse struct {
+	priority int
+	// held counts their flows that hold places.
+	held int
+	// asked counts the flows that they have asked for of late, opened those that opened, and
+	// left those of them that left their places within briefSpan.
+	asked  float64
+	opened float64
+	left   float64
+}
+
+// takePlace counts a flow at its target until releasePlace takes it back.
+func (s *Steerer) takePlace(f *flow) {
+	if f.place != nil {
+		return
+	}
+	f.place = s.connections.limiter.Target(uint32(f.target.tag))
+	if f.opened {
+		f.place.Seen()
+	} else {
+		f.place.Placed(s.now)
+	}
+	s.use(f.target.Service, &f.route).held++
+}
+
+func (s *Steerer) releasePlace(f *flow) {
+	if f.place == nil {
+		return
+	}
+	f.place.Ended(s.now)
+	f.place = nil
+	use := s.use(f.target.Service, &f.route)
+	use.held--
+	if f.opened && s.now.Since(f.openedAt) < briefSpan {
+		use.left++
+	}
+}
+
+func (s *Steerer) use(service string, route *Route) *routeUse {
+	routes := s.connections.uses[service]
+	if routes == nil {
+		routes = map[string]*routeUse{}
+		s.connections.uses[service] = routes
+	}
+	use := routes[route.Name]
+	if use == nil {
+		use = &routeUse{}
+		routes[route.Name] = use
+	}
+	use.priority = route.Priority
+	return use
+}
+
+// boundFor is how many flows a target may have for one more of a route to be placed.
+//
+// What goes wrong if all flows are alike: those that last collect at the targets until there
+// is room for nothing else, and callers with short flows, or with more urgent ones, find
+// every place taken by flows that idle. Short flows may use the place that is kept for
+// checks, since both leave it at once.
+func (v *tightService) boundFor(route *Route) limiter.Bound {
+	if v.brief[route.Name] {
+		return limiter.Bound{Flows: v.bound, Brief: true}
+	}
+	rank := 0
+	if v.manyBrief {
+		rank++
+	}
+	for at := 0; at < len(v.priorities) && v.priorities[at] < route.Priority; at++ {
+		rank++
+	}
+	step := int(reservedShare*float64(v.bound) + 0.5)
+	return limiter.Bound{Flows: v.bound, Reserved: min(checkPlaces+rank*step, v.bound/mostReserved)}
+}
+
+// sortRoutes tells the routes whose flows last from those whose flows are brief, by what
+// this host's callers do.
+func (s *Steerer) sortRoutes(v *tightService) {
+	v.brief = map[string]bool{}
+	asked, brief := 0.0, 0.0
+	uses := s.connections.uses[v.name]
+	for _, route := range slices.Sorted(maps.Keys(uses)) {
+		use := uses[route]
+		if use.idle() {
+			delete(uses, route)
+			continue
+		}
+		asked += use.asked
+		switch {
+		case use.brief():
+			v.brief[route] = true
+			brief += use.asked
+		case !slices.Contains(v.priorities, use.priority):
+			v.priorities = append(v.priorities, use.priority)
+		}
+		use.asked *= useMemory
+		use.opened *= useMemory
+		use.left *= useMemory
+	}
+	slices.Sort(v.priorities)
+	v.manyBrief = brief > manyBriefShare*asked
+}
+
+// brief reports whether most of a route's flows leave their places soon. It stays true while
+// none opens: what they did fades alike.
+func (u *routeUse) brief() bool { return u.left > briefShare*u.opened }
+
+// idle reports whether a route's callers have not used a service of late.
+func (u *routeUse) idle() bool { return u.held == 0 && u.asked < 1 }
--- /dev/null
+++ b/core/steerer/telling.go
@@ -0,0 +1,111 @@
+package steerer
+
+import (
+	"slices"
+	"time"
+
+	"cranberryspan.dev/core/limiter"
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/timekeeper"
+)
+
+const (
+	// maxToldFlows bounds the targets of which one report tells, so that it fits a datagram.
+	maxToldFlows = 120
+	// zoneFlowsMemory is how long what another zone tells of its targets counts: one of its
+	// hosts is heard each half second in a larger fleet.
+	zoneFlowsMemory = 5 * time.Second
+)
+
+// zoneFlows is what another zone tells of a service.
+type zoneFlows struct {
+	mean     int
+	deadline timekeeper.Instant
+}
+
+type zoneService struct{ zone, service string }
+
+// toldFlows is what a host is told of this host's flows, by target: one of the own zone of
+// all, others of those in their zone. Nobody is told of services that have plenty.
+func (s *Steerer) toldFlows(to *peer) map[uint32]uint16 {
+	if len(s.connections.tight) == 0 || to.zone == "" {
+		return nil
+	}
+	var tags []uint32
+	for _, t := range s.targets.ordered() {
+		near := to.zone == s.config.AvailabilityZone || to.zone == t.AvailabilityZone
+		if near && s.connections.tight[t.Service] != nil && !s.gone(t) {
+			tags = append(tags, uint32(t.tag))
+		}
+	}
+	if len(tags) > maxToldFlows {
+		c := &s.connections
+		c.turn = (c.turn + maxToldFlows) % len(tags)
+		tags = append(tags[c.turn:], tags[:c.turn]...)[:maxToldFlows]
+	}
+	flows := s.connections.limiter.Flows(tags)
+	if len(flows) == 0 && len(tags) > 0 {
+		flows[tags[0]] = 0 // A host that tells nothing is taken to hold what others do.
+	}
+	return flows
+}
+
+// addZoneFlows tells a host of another zone how many flows the targets of this zone have on
+// average, of services that are short of connections.
+//
+// What goes wrong otherwise: a zone's targets are full, and its hosts send their callers to
+// another zone's, of which they know only their own flows. One notices by targets that turn
+// out to be full though believed to be empty.
+func (s *Steerer) addZoneFlows(r *messenger.Report) {
+	for _, name := range s.tightNames() {
+		v := s.connections.tight[name]
+		at := slices.IndexFunc(r.ZoneDemands, func(d messenger.ServiceDemand) bool { return d.Service == name })
+		if at < 0 {
+			at = len(r.ZoneDemands)
+			r.ZoneDemands = append(r.ZoneDemands, messenger.ServiceDemand{Service: name})
+		}
+		r.ZoneDemands[at].Flows = uint32(v.homeMean)
+	}
+}
+
+func (s *Steerer) tightNames() []string {
+	var names []string
+	for name := range s.connections.tight {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// takeZoneFlows takes in what another zone tells of the flows at its targets.
+func (s *Steerer) takeZoneFlows(r *messenger.Report) {
+	if r.AvailabilityZone == s.config.AvailabilityZone {
+		return
+	}
+	for _, d := range r.ZoneDemands {
+		if d.Flows > 0 {
+			key := zoneService{r.AvailabilityZone, d.Service}
+			s.connections.away[key] = zoneFlows{mean: int(d.Flows), deadline: s.now.Add(zoneFlowsMemory)}
+		}
+	}
+}
+
+// takeFlows takes in which flows another host has.
+func (s *Steerer) takeFlows(p *peer, r *messenger.Report) {
+	s.takeZoneFlows(r)
+	if len(r.Flows) == 0 {
+		return
+	}
+	flows := make(map[uint32]uint16, len(r.Flows))
+	for tag, n := range r.Flows {
+		if t, ok := s.told(p, tag); ok {
+			flows[tag] = n
+			if s.connections.tight[t.Service] == nil {
+				s.connections.deadline = 0
+			}
+		}
+	}
+	s.connections.heard = s.now
+	near := p.zone == s.config.AvailabilityZone
+	s.connections.limiter.Take(p.name, limiter.Word{Incarnation: r.Incarnation, Near: near, Flows: flows}, s.now)
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -237,9 +237,9 @@
 package=steerer
 without "an even spread of connections" steerer/connections.go 'return connectionLoad * float64(flows)' 'return 0 * connectionLoad * float64(flows)' TestIdleTargetIsNotFilledWithFlows
 without "the bound of connections" steerer/connections.go 'if !l.Admits(' 'if false && !l.Admits(' TestFlowsBeyondAllPlacesAreRefusedAtOnce
-without "brief flows" steerer/connections.go 'if v.brief[route.Name] {' 'if false {' TestBriefFlowsFindRoomBesideThoseThatLast
-without "places for higher priority" steerer/connections.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
-without "places for checks" steerer/connections.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
+without "brief flows" steerer/places.go 'if v.brief[route.Name] {' 'if false {' TestBriefFlowsFindRoomBesideThoseThatLast
+without "places for higher priority" steerer/places.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
+without "places for checks" steerer/places.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
 without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
 without "memory of targets found full" steerer/crowding.go 'full := f.target.foundFullAt != 0' 'full := false && f.target.foundFullAt != 0' TestTargetThatWasJustFoundFullIsNotWaitedFor
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
