--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -58,7 +58,11 @@
 	// stand idle between two requests.
 	aimedWait = 0.4
 	// idleWait is the mean wait below which nobody is refused: targets have slots free.
-	idleWait = 0.25
+	idleWait = 0.1
+	// certainWait is the mean wait above which a priority for which nothing is left is shut out:
+	// what is asked is known to a quarter or so, and callers who are counted in two zones
+	// while they move look like a crowd.
+	certainWait = 0.25
 	// waitStep is the part of each answer in the mean wait: some ten answers, a few tenths
 	// of a second at a host under load.
 	waitStep = 0.1
@@ -314,6 +318,9 @@
 // Waits reports whether admitted requests wait at targets.
 func (a *Admitter) Waits() bool { return a.wait >= idleWait }
 
+// Certain reports whether admitted requests wait for so long that a priority may be shut out.
+func (a *Admitter) Certain() bool { return a.wait >= certainWait }
+
 // Crowded reports whether admitted requests wait for longer than they should.
 func (a *Admitter) Crowded() bool { return a.wait > aimedWait }
 
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -17,6 +17,9 @@
 type refusal uint8
 
 const (
+	// slowerBy is how many times as long a target takes that is slower than another beyond
+	// what chance does.
+	slowerBy = 1.5
 	notRefused refusal = iota
 	// refusedNoRoom flows have no part in the room that all hosts share.
 	refusedNoRoom
@@ -40,28 +43,41 @@
 		if a.Known() && a.Crowded() && !a.Admit(route.Priority) {
 			return refusedNoRoom
 		}
-	case a.Known() && a.Share(route.Priority) <= 0:
+	case a.Known() && a.Share(route.Priority) <= 0 && a.Certain():
 		return refusedNoRoom // Higher priorities need all of it.
-	case fits && !to.hasFreeSlot() && s.wouldBeLate(v), !fits && s.wouldWait(v):
+	case fits && s.wouldBeLate(v, to), !fits && s.wouldWait(v, to):
 		return refusedOverload
 	}
 	return notRefused
 }
 
-// hasFreeSlot reports whether a target could work on one more request at once, as far as the
-// zone's hosts know. What waits at this host then waits for other targets, as the requests of
-// open flows at slow ones do, and is no ground to refuse a flow that goes elsewhere.
-func (t *target) hasFreeSlot() bool { return t.underWay() < t.Slots && !t.pace.Slow() }
-
 // wouldWait reports whether the request of a new flow would wait behind others that wait
 // at this host already. Open flows can't be refused; with fewer of them less has to wait.
-func (s *Steerer) wouldWait(v *service) bool { return v.load.Pressed() && v.paced > 0 }
+func (s *Steerer) wouldWait(v *service, to *target) bool {
+	return v.load.Pressed() && s.waitingBeside(v, to) > 0
+}
 
 // wouldBeLate reports whether so many requests wait at this host that another would wait
 // for a good part of the time that answers take. While the fleet has room, a few that wait
 // are the unevenness of the moment, and no ground to refuse anybody.
-func (s *Steerer) wouldBeLate(v *service) bool {
-	return v.load.Pressed() && float64(v.paced) >= lineShare*v.load.Window()
+func (s *Steerer) wouldBeLate(v *service, to *target) bool {
+	return v.load.Pressed() && float64(s.waitingBeside(v, to)) >= lineShare*v.load.Window()
+}
+
+// waitingBeside counts the requests that wait at this host for targets that are no slower
+// than one.
+//
+// What goes wrong if all count: some targets turn slow, and the requests of the flows that
+// are open there wait. New flows would go to quick targets with slots free, and are refused.
+func (s *Steerer) waitingBeside(v *service, to *target) int {
+	waiting := 0
+	most := slowerBy * s.slowness(to)
+	for _, t := range v.lines {
+		if s.slowness(t) <= most {
+			waiting += t.line.Len()
+		}
+	}
+	return waiting
 }
 
 // refuseForRoom refuses a new flow for which there is no room, and says what is believed
