--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -1,25 +1,32 @@
 package steerer
 
-import (
-	"fmt"
-)
+import "fmt"
 
-// lineShare is the part of a host's window that may wait while the fleet has room.
-const lineShare = 0.25
+const (
+	// lineShare is the part of a host's window that may wait while the fleet has room.
+	lineShare = 0.25
+	// slowerBy is how many times as long as another a target takes that is slower by more
+	// than chance.
+	slowerBy = 1.5
+)
 
-// short reports whether a service is asked for more than it has room for.
+// short reports whether a service is asked for more than it has room for. A host that hears
+// no other goes by its own answers.
 func (s *Steerer) short(service string) bool {
 	v, ok := s.services[service]
-	return ok && v.room.admitter.Short()
+	switch {
+	case !ok:
+		return false
+	case v.room.admitter.Known():
+		return v.room.admitter.Short()
+	}
+	return v.load.Pressed()
 }
 
 // refusal is why a new flow doesn't get in.
 type refusal uint8
 
 const (
-	// slowerBy is how many times as long a target takes that is slower than another beyond
-	// what chance does.
-	slowerBy = 1.5
 	notRefused refusal = iota
 	// refusedNoRoom flows have no part in the room that all hosts share.
 	refusedNoRoom
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -28,13 +28,9 @@
 	//
 	// One host of any zone a round is enough to take news to each zone within a round or
 	// two, since all hosts of a zone tell it; the others are where traffic has no price.
-	//
-	// farTellers is how many hosts of a zone tell hosts of any zone in a round without
-	// news; those of a larger zone take turns.
 	smallFleet   = 12
 	reportFanout = 4
 	nearFanout   = 3
-	farTellers   = 12
 	// maxChanges bounds the changes in a report, so that it fits a datagram.
 	maxChanges = 10
 	// changeMemory is how long a change is repeated in reports.
@@ -52,10 +48,10 @@
 	// shortMentionSilence is after how long a host that nobody mentions does not count
 	// for rank, in a small fleet. In a larger one word of a host goes from zone to zone by
 	// one report of a round, which takes up to longMentionSilence, and each host is
-	// mentioned more rarely, by maxHints in each of 12 reports a second to its zone.
+	// mentioned more rarely, by maxHints in each of some 16 reports a second.
 	shortMentionSilence = time.Second
 	longMentionSilence  = 5 * time.Second
-	mentionsASecond     = 4 * nearFanout * maxHints
+	mentionsASecond     = 4 * reportFanout * maxHints
 	// mentionsMissed is how many mentions must fail to come: one in e^8 hosts that
 	// live is missed.
 	mentionsMissed = 8
@@ -68,11 +64,8 @@
 	// nextReaders is how many hosts, next in rank, hear of a read of the platform at once:
 	// as many as would read within the time that the news takes to all.
 	nextReaders = 3
-	// maxHints bounds the hosts that a report names, maxFarHints those in a report of a
-	// larger fleet to another zone, of which names are the larger part. All hosts of a zone
-	// tell that zone, so each host is mentioned there some times a second.
-	maxHints    = 8
-	maxFarHints = 3
+	// maxHints bounds the hosts that a report names.
+	maxHints = 8
 	// hintAgeUnit is the unit in which reports say how long ago a host was heard.
 	hintAgeUnit = 100 * time.Millisecond
 )
@@ -139,9 +132,7 @@
 	// are the hosts of the own zone, and all, that have not had their turn yet.
 	roundDeadline timekeeper.Instant
 	nearOrder     []*peer
-	// rounds counts them.
-	rounds uint64
-	order  []*peer
+	order         []*peer
 }
 
 func newPeers() peers {
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -33,7 +33,6 @@
 	p.incarnation = r.Incarnation
 	s.peers.zones.leave(p, r.Leaving)
 	s.peers.noteHeard(p, s.now)
-	s.peers.zones.noteReport(r, s.config.AvailabilityZone, s.now)
 	p.version = r.Version
 	p.position = sequencer.At(r.TargetsEra, r.TargetsRevision)
 	p.digest = r.TargetsDigest
@@ -190,16 +189,9 @@
 //
 // What goes wrong if all hosts are told as often as each other: in a fleet of five zones
 // four of five reports go to another zone, where traffic is priced, and news of the own
-// zone's loads is seconds old. And if each host tells hosts of any zone in each round, what
-// passes between zones grows with the fleet. So the hosts of a large zone take turns with
-// that, unless there is news.
+// zone's loads is seconds old.
 func (s *Steerer) reportRound() {
 	near := s.tellSome(&s.peers.nearOrder, nearFanout, func(p *peer) bool { return p.zone == s.config.AvailabilityZone })
-	s.peers.rounds++
-	turns := max(uint64(len(s.peers.zones.of(s.config.AvailabilityZone))/farTellers), 1)
-	if !s.peers.news && s.peers.rounds%turns != s.selfHash%turns {
-		return
-	}
 	s.tellSome(&s.peers.order, reportFanout-near, func(*peer) bool { return true })
 }
 
@@ -309,9 +301,6 @@
 		own := s.ownNews()
 		r.Busy, r.Quick, r.Silent = own.busy, own.quick, own.silent
 		r.Paces = s.paces()
-		if len(s.peers.byName) > smallFleet {
-			r.ZonesHeard = own.zonesHeard
-		}
 	} else {
 		r.ZoneHosts = len(s.peers.zones.of(to.zone))
 		s.addZoneFlows(r)
@@ -329,7 +318,6 @@
 	}
 	silence := s.mentionSilence()
 	start := s.random.IntN(len(all))
-	most := s.mostHints(to)
 	helpful := func(*peer) bool { return true }
 	if !to.knows() && slices.ContainsFunc(all, (*peer).knows) {
 		helpful = (*peer).knows
@@ -345,22 +333,12 @@
 		if p.zone == s.config.AvailabilityZone {
 			r.HostsNear |= 1 << (len(r.Hosts) - 1)
 		}
-		if len(r.Hosts) == most {
+		if len(r.Hosts) == maxHints {
 			break
 		}
 	}
 }
 
-// mostHints is how many hosts a report to another names. One that has just started needs to
-// hear of as many as possible.
-func (s *Steerer) mostHints(to *peer) int {
-	far := to.zone != "" && to.zone != s.config.AvailabilityZone
-	if far && to.knows() && len(s.peers.byName) > smallFleet {
-		return maxFarHints
-	}
-	return maxHints
-}
-
 // tenths writes a time in tenths of a second, rounded up.
 func tenths(d time.Duration) uint8 {
 	return uint8(min((d+hintAgeUnit-1)/hintAgeUnit, math.MaxUint8))
@@ -391,8 +369,6 @@
 	busy   map[uint32]uint16
 	quick  []uint32
 	silent []uint32
-	// zonesHeard is how long ago other zones were heard of.
-	zonesHeard map[string]uint8
 	// known says that it was worked out at this event.
 	known bool
 }
@@ -403,7 +379,7 @@
 	if s.own.known {
 		return &s.own
 	}
-	s.own = ownNews{busy: map[uint32]uint16{}, zonesHeard: s.peers.zones.ages(s.now), known: true}
+	s.own = ownNews{busy: map[uint32]uint16{}, known: true}
 	for _, t := range s.targets.ordered() {
 		if n := t.busy + t.opening; n > 0 {
 			s.own.busy[uint32(t.tag)] = uint16(min(n, 1<<16-1))
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -162,7 +162,7 @@
 without "refusals while others wait" steerer/admitting.go 'return v.load.Pressed() && v.paced > 0' 'return false' TestNewFeedIsRefusedWhileOthersWait
 without "the end of a request whose caller has gone" steerer/flow.go 'func (s *Steerer) close(key flowKey, f *flow) {
 	s.dropPaced(f)' 'func (s *Steerer) close(key flowKey, f *flow) {' TestPacedRequestOfACallerThatHasGoneIsDropped
-without "refusals while others wait" steerer/pacing.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
+without "refusals while others wait" steerer/admitting.go 's.pressed(to.Service) && s.service(to.Service).paced > 0' 'false' TestNewFeedIsRefusedWhileOthersWait
 without "what waits at a host that leaves" steerer/leaving.go 's.passAllPaced(t, "leaving")' '_ = t' TestLeavingHostPassesOnWhatWaits
 without "resets of what waits for a silent target" steerer/health.go '!f.waiting && f.paced == nil' '!f.waiting' TestPacedRequestOfASilentTargetIsReset
 without "resets of what waits for a removed route" steerer/pacing.go 'if s.removed[r.key.service] {' 'if false {' TestPacedRequestOfARemovedRouteIsReset
@@ -204,9 +204,9 @@
 without "doubt of silent zones" steerer/choosing.go 'if v.doubted {' 'if false {' TestZoneThatCrashesIsLeftAtOnce
 without "signs of life that end doubt" diagnoser/diagnoser.go 'z.gaps >= enoughGaps && z.heard <= since && now' 'z.gaps >= enoughGaps && now' TestOneCrashedTargetDoesNotEmptyItsZone
 without "distrust of late checks" steerer/health.go '(!s.trusts() || e.Took > lateCheck*h.patience)' '!s.trusts()' TestCheckThatTheHostHeldUpBlamesNobody
-without "word of silent targets" steerer/reports.go 'r.Silent = s.silentTargets()' '_ = s.silentTargets()' TestOtherHostsHearOfSilentTargets
-without "service of a zone that is cut off" steerer/orders.go 'return others >= 2 && !s.peers.zones.hearsAny(s.now)' 'return false && !s.peers.zones.hearsAny(s.now)' TestEvacuatedZoneThatIsCutOffServesItself
-without "orders that hold while hosts are heard" steerer/orders.go 'return others >= 2 && !s.peers.zones.hearsAny(s.now)' 'return others >= 2' TestEvacuatedZoneThatIsCutOffServesItself
+without "word of silent targets" steerer/reports.go 'r.Busy, r.Quick, r.Silent = own.busy, own.quick, own.silent' 'r.Busy, r.Quick = own.busy, own.quick' TestOtherHostsHearOfSilentTargets
+without "service of a zone that is cut off" steerer/orders.go 'return others >= 2 && !s.hearsOtherZones()' 'return false && !s.hearsOtherZones()' TestEvacuatedZoneThatIsCutOffServesItself
+without "orders that hold while hosts are heard" steerer/orders.go 'return others >= 2 && !s.hearsOtherZones()' 'return others >= 2' TestEvacuatedZoneThatIsCutOffServesItself
 without "orders that hold with one other zone" steerer/orders.go 'others >= 2 &&' 'others >= 1 &&' TestOrderHoldsWhenTheOnlyOtherZoneIsLost
 without "first reads that allow for transfers" steerer/reading.go 'return boundedWait(within, readShare, left)' 'return portion(within, readShare) + 0*left' TestNewSettingsReachSmallLinksInTime
 without "own reads that allow for transfers" steerer/asking.go 'return boundedWait(within, share, left)' 'return portion(within, share) + 0*left' TestNewSettingsReachSmallLinksInTime
@@ -311,9 +311,6 @@
 without "requests of open flows in quotas" steerer/steering.go 's.chargeRequest(p, f)' '_ = p' TestRequestsOfOpenFlowsCountForAQuota
 
 package=steerer
-without "few names in reports to other zones" steerer/reports.go 'return maxFarHints' 'return maxHints' TestReportsToOtherZonesNameFewHosts
-without "turns with reports to other zones" steerer/reports.go 's.peers.rounds%turns != s.selfHash%turns' 'turns == 0' TestReportsBetweenZonesDoNotGrowWithTheFleet
-without "word of the zones heard" steerer/reports.go '			r.ZonesHeard = own.zonesHeard' '			_ = own.zonesHeard' TestHostsOfALargeZoneKnowTogetherWhichZonesAreSilent
 without "hosts by zone" steerer/peerzones.go 'z.byZone[p.zone] = slices.DeleteFunc' '_ = slices.DeleteFunc' TestHostsByZoneAgreeWithWhatIsKnownOfEach
 without "hosts that leave their zone" steerer/peerzones.go 'if p.leaving != leaving {
 		z.epoch++' 'if p.leaving != leaving {
