--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -10,17 +10,10 @@
 	slowerBy = 1.5
 )
 
-// short reports whether a service is asked for more than it has room for. A host that hears
-// no other goes by its own answers.
+// short reports whether a service is asked for more than it has room for.
 func (s *Steerer) short(service string) bool {
 	v, ok := s.services[service]
-	switch {
-	case !ok:
-		return false
-	case v.room.admitter.Known():
-		return v.room.admitter.Short()
-	}
-	return v.load.Pressed()
+	return ok && v.room.admitter.Short()
 }
 
 // refusal is why a new flow doesn't get in.
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -6,6 +6,17 @@
 	"cranberryspan.dev/core/throttler"
 )
 
+// shortOfRoom reports whether a service is asked for more than its targets can do. A host
+// that hears no other goes by its own answers.
+func (s *Steerer) shortOfRoom(service string) bool {
+	v, ok := s.services[service]
+	if !ok {
+		return false
+	}
+	a := v.room.admitter
+	return a.Short() || (!a.Known() && v.load.Pressed())
+}
+
 // throttled refuses a new flow whose caller has used up a quota, or has had more than its
 // share of a service that is short of room. It reports whether it did.
 //
@@ -13,7 +24,7 @@
 // of all, since whoever asks most gets most. Nothing has run, so the caller is told at
 // once.
 func (s *Steerer) throttled(p *Packet, route *Route, service string) bool {
-	asked := throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.short(service)}
+	asked := throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}
 	if verdict := s.throttler.Ask(asked, s.now); verdict.Refused {
 		s.counts.add(RefusedCallerShare)
 		s.refuse(p, "callerShare", field("service", service), field("prefix", verdict.Prefix.String()),
