Targets are told in the shape that the release before reads

Cause: a target is an array in messages, and the era was a field more, so hosts of two releases read neither changes nor answers of each other. Ruled out: a parallel list of eras, a byte a target in answers that are not compressed. Change: all states that a host tells are of the era of its list (TargetsEra); one that it heard of from a newer era than its own list is told as of its own position. The test failed before (decode, and another length).

--- a/core/encoder/encoder_test.go
+++ b/core/encoder/encoder_test.go
@@ -166,6 +166,48 @@
 	})
 }
 
+// earlierTarget is a target as hosts told it before there were eras.
+type earlierTarget struct {
+	_                struct{} `cbor:",toarray"`
+	ID               string
+	Seen             uint64
+	Service          string
+	Address          netip.AddrPort
+	AvailabilityZone string
+	Slots            int
+	Draining         bool
+	Missing          bool
+	WarmUp           time.Duration
+	Born             int64
+	Unreadable       bool
+}
+
+// Symptom: while a release is rolled out, its hosts and those of the one before tell each
+// other neither lists nor changes of targets. Sequence: one of them reports a change, or
+// answers a question. Cause: a target is an array, and of another length.
+func TestTargetsAreReadByTheReleaseBefore(t *testing.T) {
+	address := netip.MustParseAddrPort("10.2.0.1:80")
+	earlier := []earlierTarget{{ID: "i-0a", Seen: 9, Service: "ledger", Address: address, Slots: 4, Draining: true, Born: 7, Unreadable: true}}
+	current := []messenger.TargetState{{ID: "i-0a", Seen: 9, Service: "ledger", Address: address, Slots: 4, Draining: true, Born: 7, Unreadable: true}}
+
+	old, err := cbor.Marshal(earlier)
+	require.NoError(t, err)
+	read, err := encoder.DecodeTargets(old)
+	require.NoError(t, err)
+	require.Equal(t, current, read)
+
+	data, err := encoder.EncodeTargets(current)
+	require.NoError(t, err)
+	require.Equal(t, old, data)
+	data, err = cbor.Marshal(&messenger.Report{TargetsEra: 4, Changes: current})
+	require.NoError(t, err)
+	var report struct {
+		Changes []earlierTarget `cbor:"changes,omitempty"`
+	}
+	require.NoError(t, cbor.Unmarshal(data, &report))
+	require.Equal(t, earlier, report.Changes)
+}
+
 func FuzzDecodeTargets(f *testing.F) {
 	data, err := encoder.EncodeTargets([]messenger.TargetState{{ID: "i-0a", Service: "ledger"}})
 	require.NoError(f, err)
--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -113,7 +113,9 @@
 	MilliSlots uint32
 }
 
-// TargetState is a target as the platform listed it at revision Seen.
+// TargetState is a target as the platform listed it at revision Seen, which belongs to the
+// era that the message tells as TargetsEra. It is an array: with a field more or less, hosts
+// of two releases could not read each other.
 type TargetState struct {
 	_                struct{} `cbor:",toarray"`
 	ID               string
@@ -130,8 +132,6 @@
 	Born int64
 	// Unreadable says of a missing target that an entry under its ID names no target.
 	Unreadable bool
-	// Era is the era of the platform's history that Seen belongs to; 0 if it tells none.
-	Era uint64
 }
 
 // HostHint tells where a host may be found.
@@ -171,7 +171,7 @@
 	SettingsRead uint64        `cbor:"verRead,omitempty"`
 	// Revision is the platform's revision that Targets reflect.
 	Revision uint64 `cbor:"rev,omitempty"`
-	// TargetsEra and SettingsEra are as in Report.
+	// TargetsEra and SettingsEra are as in Report. Gone are of TargetsEra, too.
 	TargetsEra  uint64        `cbor:"era,omitempty"`
 	SettingsEra uint64        `cbor:"verEra,omitempty"`
 	TargetsAge  time.Duration `cbor:"revAge,omitempty"`
--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -235,7 +235,7 @@
 	}
 	k := e.Knowledge
 	if k.GoneTold {
-		s.takeGone(k.Gone, e.From)
+		s.takeGone(k, e.From)
 	}
 	if e.Settings != nil {
 		s.adopt(e.Settings, e.Document, e.From)
@@ -260,7 +260,7 @@
 	listed := make(map[string]bool, len(k.Targets))
 	for _, state := range k.Targets {
 		listed[state.ID] = !state.Missing
-		s.takeState(state, from)
+		s.takeState(state, k.TargetsEra, from)
 	}
 	if position.Before(s.targetsPosition) {
 		return
@@ -280,6 +280,7 @@
 		SettingsAge:  age(s.now, s.reading.settings.confirmed),
 		SettingsRead: s.reading.settings.confirmedRead,
 		SettingsEra:  s.reading.settings.era,
+		TargetsEra:   s.targetsPosition.Era,
 	}
 	if k.Version > request.Above {
 		k.Document = s.document
@@ -291,7 +292,7 @@
 	if !request.Targets {
 		return k
 	}
-	k.Revision, k.TargetsEra = s.targetsPosition.Revision, s.targetsPosition.Era
+	k.Revision = s.targetsPosition.Revision
 	k.TargetsAge = age(s.now, s.reading.targets.confirmed)
 	k.TargetsRead = s.reading.targets.confirmedRead
 	// What was seen later than the other's position includes all that has changed
@@ -301,7 +302,7 @@
 	continues := s.targetsPosition.Continues(since)
 	for _, t := range s.targets.ordered() {
 		if (continues && since.Before(t.seen)) || (!continues && (!t.missing || t.unreadable)) {
-			k.Targets = append(k.Targets, t.state(s.now))
+			k.Targets = append(k.Targets, s.state(t))
 		}
 	}
 	return k
--- a/core/steerer/gone.go
+++ b/core/steerer/gone.go
@@ -57,22 +57,27 @@
 	slices.SortStableFunc(gone, func(x, y *target) int { return cmp.Compare(y.missingSince, x.missingSince) })
 	var states []messenger.TargetState
 	for _, t := range gone[:min(len(gone), maxGone)] {
-		states = append(states, t.state(s.now))
+		states = append(states, s.state(t))
 	}
 	return states
 }
 
-// takeGone takes in the targets that were gone before this host started.
-func (s *Steerer) takeGone(states []messenger.TargetState, from string) {
+// takeGone takes in the targets that were gone before this host started. What another era
+// says of them gives way to any word of this one.
+func (s *Steerer) takeGone(k *messenger.Knowledge, from string) {
 	s.asking.goneLearned = true
-	for _, state := range states {
+	for _, state := range k.Gone {
 		number, valid := NumberOf(state.ID)
 		if _, known := s.targets.byID[state.ID]; known || !valid {
 			continue
 		}
-		t, _ := s.targets.put(recordOf(state, number), sequencer.At(state.Era, state.Seen))
+		seen := sequencer.At(s.targetsPosition.Era, 0)
+		if k.TargetsEra == seen.Era {
+			seen = seen.WithRevision(state.Seen)
+		}
+		t, _ := s.targets.put(recordOf(state, number), seen)
 		t.missing = true
 		t.missingSince = s.now
 	}
-	s.log("goneTargetsKnown", field("targets", itoa(len(states))), field("from", from))
+	s.log("goneTargetsKnown", field("targets", itoa(len(k.Gone))), field("from", from))
 }
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -8,7 +8,6 @@
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/sequencer"
-	"cranberryspan.dev/core/timekeeper"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -109,7 +108,7 @@
 		return // The own first read is under way and brings all at once.
 	}
 	for _, state := range r.Changes {
-		s.takeState(state, from)
+		s.takeState(state, r.TargetsEra, from)
 	}
 	if r.TargetsRevision == 0 {
 		return
@@ -153,10 +152,10 @@
 	}
 }
 
-// takeState takes in what another host says of a target. What it saw before a restore of
+// takeState takes in what another host says of a target, in some era. What it saw before a restore of
 // the platform never wins over a list from after it.
-func (s *Steerer) takeState(state messenger.TargetState, from string) {
-	seen := sequencer.At(state.Era, state.Seen)
+func (s *Steerer) takeState(state messenger.TargetState, era uint64, from string) {
+	seen := sequencer.At(era, state.Seen)
 	if seen.Era < s.targetsPosition.Era {
 		return
 	}
@@ -294,7 +293,7 @@
 	changes := s.peers.changes
 	for i := range min(len(changes), maxChanges) {
 		c := changes[(s.peers.changeTurn+i)%len(changes)]
-		r.Changes = append(r.Changes, c.target.state(s.now))
+		r.Changes = append(r.Changes, s.state(c.target))
 	}
 	s.peers.changeTurn += maxChanges
 	if to.zone == s.config.AvailabilityZone {
@@ -394,11 +393,19 @@
 	return &s.own
 }
 
-// state writes a target for a report.
-func (t *target) state(now timekeeper.Instant) messenger.TargetState {
+// state writes a target for a message, as of the era of this host's list.
+//
+// A host that has not yet the list of a new era may have heard of a change in it, and tells
+// that as of its own position: all that it tells is of one era, and gives way to any list of
+// the new one.
+func (s *Steerer) state(t *target) messenger.TargetState {
+	seen := t.seen
+	if seen.Era > s.targetsPosition.Era {
+		seen = s.targetsPosition
+	}
 	return messenger.TargetState{
-		ID: t.ID, Seen: t.seen.Revision, Era: t.seen.Era, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
-		Slots: t.Slots, Draining: t.Draining, Missing: t.missing, WarmUp: max(t.warmUpDeadline.Until(now), 0),
+		ID: t.ID, Seen: seen.Revision, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
+		Slots: t.Slots, Draining: t.Draining, Missing: t.missing, WarmUp: max(t.warmUpDeadline.Until(s.now), 0),
 		Born: t.Born, Unreadable: t.unreadable,
 	}
 }
