A first answer that may be stale counts for the era before

Cause: a first read after a restore may show the ended era's contents under the new era's header. It was taken as of the new era at the old, higher revision, told others, and each correct list was before it, while reads confirmed it; orders likewise. Ruled out: first reads that may not be stale, which the store's rate does not allow a fleet. Change: such a read counts for Era-1, asks for no second read, and its mirror is read whole once by the next read. Tests failed before: TestFirstAnswerFromBeforeARestoreConvincesNobody, TestFirstOrdersFromBeforeARestoreEndNoOrder, TestFirstAnswerThatMayBeStaleIsReadAnew.

--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -333,17 +333,35 @@
 func (s *Steerer) settingsRead(e *SettingsRead) {
 	taken := s.endRead(&s.reading.settings, e.Started, e.MayBeStale, e.Published.Orders.Position, e.Err)
 	s.noteRead("settings", e.Err)
-	s.takeOrders(e.Published.Orders, fromPlatform)
+	orders := e.Published.Orders
+	orders.Position = shownAt(orders.Position, e.MayBeStale)
+	s.takeOrders(orders, fromPlatform)
 	if !taken {
 		return
 	}
 	if e.Published.Settings != nil {
 		s.adopt(e.Published.Settings, e.Published.Document, fromPlatform)
 	}
-	s.readRestored()
+	if !e.MayBeStale {
+		s.readRestored()
+	}
 	s.tellOfRead(e.MayBeStale)
 }
 
+// shownAt is the position that the contents of an answer are sure to have reached.
+//
+// What goes wrong if an answer that may be seconds old is taken for one of the era that it
+// names: the store was restored within these seconds, and what the restore has undone stands
+// under the new era at a revision that the new history has not reached. All hosts that hear
+// of it ignore the platform's lists until it has, and report nothing. So such an answer
+// counts for the era before, and gives way to any other of its own.
+func shownAt(told sequencer.Position, mayBeStale bool) sequencer.Position {
+	if mayBeStale && told.Era > 0 {
+		told.Era--
+	}
+	return told
+}
+
 // tellOfRead tells the next readers of a read, once for reads that began together.
 func (s *Steerer) tellOfRead(mayBeStale bool) {
 	if !mayBeStale && !s.reading.settings.reading && !s.reading.targets.reading {
@@ -391,7 +409,11 @@
 	if !taken {
 		return
 	}
-	s.takeList(e.List)
-	s.readRestored()
+	list := e.List
+	list.Position = shownAt(list.Position, e.MayBeStale)
+	s.takeList(list)
+	if !e.MayBeStale {
+		s.readRestored()
+	}
 	s.tellOfRead(e.MayBeStale)
 }
