Lists and orders without a revision are not taken; a second restore counts anew

Cause: revision 0 of a later era is after all of the earlier one, so a list without a revision made a host know nothing, and orders without one ended those in force. And what a restore has undone was held, or doubted, from the first of two restores on.

--- a/core/evacuator/evacuator.go
+++ b/core/evacuator/evacuator.go
@@ -110,11 +110,15 @@
 //
 // What goes wrong if orders that a restored platform lacks end at once: the operators have
 // not taken them back, and give them again within seconds. Until then new flows go into a
-// zone that is about to fail. So these end only if they are not given again in time.
+// zone that is about to fail. So these end only if they are not given again in time, counted
+// from the latest restore.
 func (e *Evacuator) Take(orders Orders, now timekeeper.Instant) []Change {
 	if !e.orders.Position.Before(orders.Position) {
 		return nil
 	}
+	if e.orders.Position.Known() && !orders.Position.Known() {
+		return nil // It says nothing of any history.
+	}
 	var changes []Change
 	for _, zone := range orders.Zones {
 		if !e.Evacuates(zone) {
@@ -124,6 +128,9 @@
 		delete(e.held, zone)
 	}
 	restored := e.orders.Position.Known() && !orders.Position.Continues(e.orders.Position)
+	if restored {
+		e.holdLonger(now)
+	}
 	for _, zone := range e.orders.Zones {
 		switch {
 		case orders.Evacuates(zone):
@@ -137,6 +144,13 @@
 	return changes
 }
 
+// holdLonger has the orders that an earlier restore has undone hold for as long again.
+func (e *Evacuator) holdLonger(now timekeeper.Instant) {
+	for zone := range e.held {
+		e.held[zone] = now.Add(sequencer.RewriteTime)
+	}
+}
+
 // Expire ends the orders that were not given again in time after a restore, and returns
 // them in the order of zones.
 func (e *Evacuator) Expire(now timekeeper.Instant) []Change {
--- a/core/evacuator/evacuator_test.go
+++ b/core/evacuator/evacuator_test.go
@@ -108,3 +108,26 @@
 	_, lifted := e.Lifted("b")
 	require.True(t, lifted)
 }
+
+// Symptom: an order ends that nobody has taken back. Sequence: word comes of a new era, with
+// no revision. Cause: 0 of a later era is after all of the earlier.
+func TestOrdersWithoutARevisionChangeNothing(t *testing.T) {
+	e := evacuator.New()
+	given := evacuator.Orders{Position: sequencer.At(3, 500)}.WithZone("a", 501)
+	e.Take(given, start)
+	require.Empty(t, e.Take(evacuator.Orders{Position: sequencer.At(4, 0)}, start))
+	require.Equal(t, given, e.Orders())
+}
+
+// Symptom: an order that two restores in a row have undone ends before operators could give
+// it again. Sequence: the second restore comes two seconds after the first. Cause: a time
+// that runs from the first.
+func TestSecondRestoreHoldsOrdersForAsLongAgain(t *testing.T) {
+	e := evacuator.New()
+	e.Take(evacuator.Orders{Position: sequencer.At(3, 500)}.WithZone("a", 501), start)
+	e.Take(evacuator.Orders{Position: sequencer.At(4, 460)}, start)
+	second := start.Add(2 * time.Second)
+	e.Take(evacuator.Orders{Position: sequencer.At(5, 460)}, second)
+	require.Empty(t, e.Expire(second.Add(2*time.Second)))
+	require.Len(t, e.Expire(second.Add(sequencer.RewriteTime+time.Millisecond)), 1)
+}
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -24,9 +24,10 @@
 	targetSweepEvery = 250 * time.Millisecond
 )
 
-// takeList takes in a complete list of targets.
+// takeList takes in a complete list of targets. One without a revision says nothing to a
+// host that has one.
 func (s *Steerer) takeList(list TargetList) {
-	if list.Position.Before(s.targetsPosition) {
+	if list.Position.Before(s.targetsPosition) || (s.targetsPosition.Known() && !list.Position.Known()) {
 		return
 	}
 	s.takeMalformed(list.Malformed, list.Position)
--- a/core/steerer/restoring.go
+++ b/core/steerer/restoring.go
@@ -52,13 +52,17 @@
 }
 
 // noteReread dates all that is known of targets to the list of a new era. Word of hosts
-// that have only seen an earlier one says nothing against it.
+// that have only seen an earlier one says nothing against it. What an earlier restore has
+// undone may be written again for as long after this one.
 func (s *Steerer) noteReread(earlier sequencer.Position, missing int, from string) {
 	doubted := 0
 	for _, t := range s.targets.byID {
 		if t.seen.Era < s.targetsPosition.Era {
 			t.seen = s.targetsPosition
 		}
+		if !t.restored.deadline.Passed(s.now) {
+			t.restored.deadline = s.now.Add(sequencer.RewriteTime)
+		}
 		if s.doubtsRestored(t) {
 			doubted++
 		}
