A host of another era hears what has gone

Cause: an answer to a host that asks as of another era, or of none as hosts of an earlier release do, left out what is gone; that host is told changes only and keeps it. Change: such an answer has all.

--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -296,12 +296,12 @@
 	k.TargetsAge = age(s.now, s.reading.targets.confirmed)
 	k.TargetsRead = s.reading.targets.confirmedRead
 	// What was seen later than the other's position includes all that has changed
-	// since: a state is never seen before it comes about. One from another era has to
-	// know all that are listed.
+	// since: a state is never seen before it comes about. One from another era, or
+	// that tells none, has to know all, also which are gone.
 	since := sequencer.At(request.SinceEra, request.Since)
 	continues := s.targetsPosition.Continues(since)
 	for _, t := range s.targets.ordered() {
-		if (continues && since.Before(t.seen)) || (!continues && (!t.missing || t.unreadable)) {
+		if !continues || since.Before(t.seen) {
 			k.Targets = append(k.Targets, s.state(t))
 		}
 	}
--- a/core/steerer/rereading_test.go
+++ b/core/steerer/rereading_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberryspan.dev/core/evacuator"
+	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/steerer"
 	"github.com/stretchr/testify/require"
@@ -65,3 +66,57 @@
 		require.Equal(t, []string{"b"}, f.knowledge(name).Evacuated, name)
 	}
 }
+
+// Symptom: a host takes a target for gone that answers, or never hears that it has gone.
+// Sequence: a target goes; a host asks as of an era that is not the answerer's, or, being of
+// an earlier release, of none. Cause: an answer that leaves out what is gone.
+func TestHostOfAnEarlierReleaseLearnsOfWhatHasGone(t *testing.T) {
+	f := newEraFleet(t, 1)
+	f.step(2 * time.Second)
+	since := f.revision
+	f.remove(drained)
+	f.step(3 * time.Second)
+	k := f.hosts["a1"].steerer.Knowledge(&messenger.KnowledgeRequest{Above: 1, Targets: true, Since: since})
+	told := false
+	for _, s := range k.Targets {
+		told = told || (s.ID == drained && s.Missing)
+	}
+	require.True(t, told)
+}
+
+// Symptom: a host knows no targets and refuses all callers. Sequence: an answer of a new era
+// comes without a revision. Cause: era 4 at revision 0 is after all of era 3.
+func TestListWithoutARevisionIsNotTaken(t *testing.T) {
+	f := newEraFleet(t, 1)
+	f.down = true
+	f.step(300 * time.Millisecond)
+	f.reduce("a1", &steerer.TargetsRead{Started: f.now, List: steerer.TargetList{Position: sequencer.At(4, 0)}})
+	listed, _ := f.listed("a1", drained)
+	require.True(t, listed)
+}
+
+// The same where the platform tells no era.
+func TestListWithoutARevisionAndEraIsNotTaken(t *testing.T) {
+	f := newFleet(t, 1)
+	f.step(3 * time.Second)
+	f.down = true
+	f.reduce("a1", &steerer.TargetsRead{Started: f.now, List: steerer.TargetList{Position: sequencer.At(0, 0)}})
+	listed, _ := f.listed("a1", drained)
+	require.True(t, listed)
+}
+
+// Symptom: new flows go to a target that drains. Sequence: it drains; the platform is
+// restored twice, two seconds apart, before it has said so again. Cause: a time that runs
+// from the first restore, since the second changes nothing.
+func TestSecondRestoreDoubtsTargetsForAsLongAgain(t *testing.T) {
+	f := newEraFleet(t, 1)
+	before := f.backup()
+	f.drain(drained)
+	f.step(2 * time.Second)
+	f.restore(before)
+	f.step(2 * time.Second)
+	f.restore(before)
+	f.step(1700 * time.Millisecond)
+	require.Equal(t, uint64(5), f.knowledge("a1").TargetsEra)
+	require.NotEmpty(t, statusOf(f, "a1", drained).Avoided)
+}
