The era that other hosts tell reaches the reads

Cause: an answer without the header counted as of what the host's own calls had told, which at a host that starts is none; its reads were superseded for good once others had told of an era. Change: ReadOptions.Era seeds what the store knows.

--- a/core/steerer/effect.go
+++ b/core/steerer/effect.go
@@ -44,6 +44,9 @@
 type ReadOptions struct {
 	// MayBeStale allows an answer that is some seconds old.
 	MayBeStale bool
+	// Era is the newest era of the platform's history that this host has heard of: an
+	// answer that tells none counts as of it.
+	Era uint64
 }
 
 // ReadSettings asks the platform for the newest settings and orders.
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -211,12 +211,12 @@
 	if s.due(targets, rank, s.config.DrainingWithin, 0) {
 		targets.begin()
 		s.counts.add(TargetsReads)
-		s.emit(&ReadTargets{ReadOptions{MayBeStale: targets.unread()}})
+		s.emit(&ReadTargets{ReadOptions{MayBeStale: targets.unread(), Era: s.reading.era}})
 	}
 	if s.due(settings, rank, s.publishedWithin(), s.transferTime()) && !s.targetsFirst() {
 		settings.begin()
 		s.counts.add(SettingsReads)
-		s.emit(&ReadSettings{ReadOptions{MayBeStale: settings.unread()}})
+		s.emit(&ReadSettings{ReadOptions{MayBeStale: settings.unread(), Era: s.reading.era}})
 	}
 }
 
--- a/core/steerer/rereading_test.go
+++ b/core/steerer/rereading_test.go
@@ -155,3 +155,21 @@
 	require.Len(t, f.logged("a1", "readSuperseded"), 2)
 	require.Equal(t, failed+2, f.hosts["a1"].steerer.Snapshot().Counts[steerer.ReadsFailed])
 }
+
+// Symptom: hosts that have started go by what they read first, for as long as they live.
+// Sequence: the platform's answers lose their header; hosts start, and hear of the era from
+// others. Cause: an answer without an era counts as of none, before the one that is known.
+func TestHostThatStartsReadsThoughTheHeaderIsLost(t *testing.T) {
+	f := newEraFleet(t, 2)
+	f.era = 0
+	f.orders = evacuator.Orders{Position: sequencer.At(0, f.revision)}
+	f.kill("a1")
+	f.start("a1")
+	f.step(2 * time.Second)
+	f.kill("a2")
+	f.start("a2")
+	f.step(2 * time.Second)
+	f.drain(drained)
+	f.step(10 * time.Second)
+	f.requireAll(drained, true, true)
+}
