--- a/core/steerer/restoring_test.go
+++ b/core/steerer/restoring_test.go
@@ -362,6 +362,9 @@
 	require.Equal(t, uint64(4), f.knowledge("a1").TargetsEra)
 }
 
+// Symptom: hosts list what one of two restores has undone. Sequence: the platform is restored
+// twice before all hosts have read it, to the same revision. Cause: two histories that look
+// like one.
 func TestTwoRestoresAreTwoEras(t *testing.T) {
 	f := newEraFleet(t, 2, 1)
 	before := f.backup()
@@ -497,7 +500,8 @@
 	}
 }
 
-// An order that nobody gives again ends, on every host.
+// Symptom: a zone gets no flows, for good. Sequence: an order is given; the copy lacks it, and
+// operators do not give it again. Cause: an order that is held until somebody takes it back.
 func TestOrderThatIsNotGivenAgainEnds(t *testing.T) {
 	f := newEraFleet(t, 2, 1)
 	before := f.backup()
@@ -561,8 +565,9 @@
 	require.Zero(t, f.knowledge("a1").Era)
 }
 
-// In a large fleet not everybody reads the platform after a restore: those that find it
-// out tell the others.
+// Symptom: a platform that has just come back is called by all hosts at once. Sequence: it is
+// restored; every host hears of that. Cause: hosts that each read anew, where those that find
+// it out may tell the others.
 func TestRestoreIsNotReadByEverybody(t *testing.T) {
 	f := newEraFleet(t, 20, 20)
 	before := f.backup()
