--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -69,12 +69,14 @@
 	s.zoneViews = s.zoneViews[:0]
 	obeys := len(s.evacuator.Zones()) > 0 && !s.cutOff()
 	outOfTouch := s.outOfTouch()
+	nowhere := obeys && s.evacuatesAll()
 	for _, zone := range s.targets.zones {
 		evacuated := obeys && s.evacuator.Evacuates(zone)
+		lastResort := evacuated && (outOfTouch || (nowhere && s.evacuator.Doubtful(zone, s.now)))
 		s.zoneViews = append(s.zoneViews, zoneView{
 			region:     len(c.route.Regions) == 0 || slices.Contains(c.route.Regions, s.config.Regions[zone]),
-			evacuated:  evacuated && !outOfTouch,
-			lastResort: evacuated && outOfTouch,
+			evacuated:  evacuated && !lastResort,
+			lastResort: lastResort,
 			doubted:    s.diagnoser.ZoneDoubted(zone, s.now),
 			slowness:   s.speedZone(c.service, zone).Excess(),
 		})
@@ -146,7 +148,7 @@
 func (s *Steerer) excluded(t *target, views []zoneView) exclusion {
 	view := &views[t.zone]
 	switch {
-	case t.Draining || s.gone(t) || s.doubtsRestored(t):
+	case t.Draining || s.gone(t) || s.drainedBeforeRestore(t):
 		return excludedLeaving
 	case !view.region:
 		return excludedRegion
@@ -207,7 +209,7 @@
 	switch {
 	case t.health.unreachable():
 		load += unreachableLoad
-	case t.health.suspect || t.toldSilent(s.now):
+	case t.health.suspect || t.toldSilent(s.now) || s.vanishedOverRestore(t):
 		load += suspectLoad
 	}
 	return load + tieSpread*tie(hash, t)
