A word of flows is no word of demand, and fits into a report

An entry of ZoneDemands that tells only how many flows targets have was taken for a demand of nothing, so that a short service let everybody in until the next word of its zone. takeDemands leaves entries without Asked out. addZoneFlows added an entry for each service that is short of connections: now eight at most, of others in each report.

--- a/core/steerer/admitting_test.go
+++ b/core/steerer/admitting_test.go
@@ -143,3 +143,15 @@
 	tell(f, "a2", report)
 	require.InDelta(t, before, f.hosts["a1"].steerer.Snapshot().Demand, 1)
 }
+
+// Symptom: a zone that is short lets everybody in for some seconds. Sequence: another zone
+// tells what its callers ask; a second host of it, which knows of no demand, tells only how
+// many flows targets have. Cause: a word of flows that is taken for one of no demand.
+func TestWordOfFlowsIsNoWordOfDemand(t *testing.T) {
+	f := calmPair(t)
+	before := f.hosts["a1"].steerer.Snapshot().Demand
+	tell(f, "b9", &messenger.Report{AvailabilityZone: "b", ZoneDemands: urgentCrowd()})
+	require.InDelta(t, before+24, f.hosts["a1"].steerer.Snapshot().Demand, 2)
+	tell(f, "b8", &messenger.Report{AvailabilityZone: "b", ZoneDemands: []messenger.ServiceDemand{{Service: "ledger", Flows: 9}}})
+	require.InDelta(t, before+24, f.hosts["a1"].steerer.Snapshot().Demand, 2)
+}
--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -43,6 +43,8 @@
 	uses map[string]map[string]*routeUse
 	// away is what other zones tell of the flows at their targets.
 	away map[zoneService]zoneFlows
+	// zoneTurn is where the next report begins among the services of which it tells zones.
+	zoneTurn int
 	// heard is when another host last told of its flows.
 	heard timekeeper.Instant
 }
--- a/core/steerer/demands.go
+++ b/core/steerer/demands.go
@@ -57,7 +57,8 @@
 }
 
 // takeDemands takes in what a report tells of demand. Services that nobody lists are left
-// out, so that no word makes this host keep them.
+// out, so that no word makes this host keep them, and so are entries that tell only of
+// flows: their sender says nothing of demand, not that there is none.
 func (s *Steerer) takeDemands(r *messenger.Report, from *peer) {
 	near := from.zone == s.config.AvailabilityZone
 	all := r.ZoneDemands
@@ -65,7 +66,7 @@
 		all = r.Demands
 	}
 	for _, told := range all {
-		if len(s.targets.byService[told.Service]) == 0 {
+		if len(told.Asked) == 0 || len(s.targets.byService[told.Service]) == 0 {
 			continue
 		}
 		v := s.service(told.Service)
--- a/core/steerer/telling.go
+++ b/core/steerer/telling.go
@@ -56,15 +56,25 @@
 // What goes wrong otherwise: a zone's targets are full, and its hosts send their callers to
 // another zone's, of which they know only their own flows. One notices by targets that turn
 // out to be full though believed to be empty.
+//
+// Of more than maxDemands services each report tells of others.
 func (s *Steerer) addZoneFlows(r *messenger.Report) {
-	for _, name := range s.tightNames() {
-		v := s.connections.tight[name]
+	names := s.tightNames()
+	c := &s.connections
+	if len(names) > maxDemands {
+		c.zoneTurn = (c.zoneTurn + 1) % len(names)
+		names = append(names[c.zoneTurn:], names[:c.zoneTurn]...)
+	}
+	for _, name := range names {
 		at := slices.IndexFunc(r.ZoneDemands, func(d messenger.ServiceDemand) bool { return d.Service == name })
 		if at < 0 {
+			if len(r.ZoneDemands) >= maxDemands {
+				continue
+			}
 			at = len(r.ZoneDemands)
 			r.ZoneDemands = append(r.ZoneDemands, messenger.ServiceDemand{Service: name})
 		}
-		r.ZoneDemands[at].Flows = uint32(v.homeMean)
+		r.ZoneDemands[at].Flows = uint32(c.tight[name].homeMean)
 	}
 }
 
