Nobody of a lower priority gets in before a higher one of which only a part does

A priority of which no demand was metered had a share of all, also where higher ones had taken the room: with nothing asked the share is now all if room is left, else none. Requests of which the time of work is not known (no objective, one shorter than the work, not learned yet) counted as nothing: they count as the service's others do, by a median over its routes. Requests that may not run again got in until targets were full, whatever their priority: where nothing is left for it they now fare as all do. TestSharesFitIntoTheRoom no longer leaves out priorities without demand.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -256,14 +256,17 @@
 	return 1 - math.Pow(1-max(part, 0), 1.0/mostTries)
 }
 
-// sharesOf shares out room among new requests, the highest priority first.
+// sharesOf shares out room among new requests, the highest priority first. A priority of
+// which nothing was asked of late fits in if anything is left.
 func sharesOf(room float64, demand Demand) [Levels]float64 {
 	var shares [Levels]float64
 	for i := range shares {
 		room -= demand.Open[i]
-		shares[i] = 1
-		if demand.New[i] > 0 {
+		switch {
+		case demand.New[i] > 0:
 			shares[i] = shareOf(room / demand.New[i])
+		case room > 0:
+			shares[i] = 1
 		}
 		room -= demand.New[i]
 	}
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -50,7 +50,7 @@
 			open += demand.Open[i]
 			served := 1 - cube(1-a.Share(i))
 			admitted += demand.New[i] * served
-			if full && demand.New[i] > 0 {
+			if full {
 				require.Zero(t, a.Share(i), "nothing is left for lower priorities")
 			}
 			full = full || a.Share(i) < 1
@@ -63,6 +63,18 @@
 	}
 }
 
+// Symptom: callers of a low priority get in while those of a higher one are refused.
+// Sequence: a crowd; nothing was metered of a lower priority. Cause: a share of all for
+// whom nothing is known to be asked.
+func TestLowerPriorityWithoutMeteredDemandIsNotLetInBefore(t *testing.T) {
+	var demand admitter.Demand
+	demand.New[1] = 40
+	a := shortOf(20, demand)
+	require.True(t, a.Short())
+	require.Less(t, a.Share(1), 1.0)
+	require.LessOrEqual(t, a.Share(2), a.Share(1))
+}
+
 func cube(x float64) float64 { return x * x * x }
 
 // Symptom: of a share of a half ten requests in a row get in, and queues fill. Cause:
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -32,19 +32,24 @@
 // What goes wrong if all get in: their callers wait for answers that can't be in time, and
 // take the places of those that can. Nothing has run, so who doesn't get in is told at
 // once. A host that hears no other goes by what waits at itself.
+//
+// Requests that may not run again are held by nobody, and so get in before others of their
+// priority; where nothing is left for it they fare as all do, or callers of a low priority
+// would get in while those of a higher one are refused.
 func (s *Steerer) refuses(route Route, service string, to *target) refusal {
 	v := s.service(service)
 	s.assess(v)
 	a := v.room.admitter
 	a.AskedNew(route.Priority, s.work(route, v), s.now)
 	fits := a.Known() && a.Share(route.Priority) >= 1
+	nothingLeft := a.Known() && a.Share(route.Priority) <= 0
 	switch {
-	case !route.Kind.repeatable():
+	case nothingLeft && a.Certain():
+		return refusedNoRoom // Higher priorities need all of it.
+	case !route.Kind.repeatable() && !nothingLeft:
 		if a.Known() && a.Crowded() && !a.Admit(route.Priority) {
 			return refusedNoRoom
 		}
-	case a.Known() && a.Share(route.Priority) <= 0 && a.Certain():
-		return refusedNoRoom // Higher priorities need all of it.
 	case fits && s.wouldBeLate(v, to), !fits && s.wouldWait(v, to):
 		return refusedOverload
 	}
--- a/core/steerer/admitting_test.go
+++ b/core/steerer/admitting_test.go
@@ -155,3 +155,54 @@
 	tell(f, "b8", &messenger.Report{AvailabilityZone: "b", ZoneDemands: []messenger.ServiceDemand{{Service: "ledger", Flows: 9}}})
 	require.InDelta(t, before+24, f.hosts["a1"].steerer.Snapshot().Demand, 2)
 }
+
+// waitsAbout lets answers be late by so much that requests wait for a third of their
+// callers' spare time.
+func waitsAbout(f *fleet, from int) {
+	for n := range 40 {
+		answerAfter(f, "a1", from+n, 150*time.Millisecond)
+	}
+}
+
+// Symptom: checks of a low priority get in while reads of a higher one are refused.
+// Sequence: reads of a higher priority take all that is left; a check opens. Cause: requests
+// that may not run again get in whatever the shares say until targets are full.
+func TestLowPriorityThatCantRunAgainGetsNoRoomBeforeHigherOnes(t *testing.T) {
+	f := newFleet(t, 2)
+	all := objectiveRoutes()
+	all[0].Priority, all[1].Priority = 1, 2
+	f.settings = settingsOf(2, all)
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	press(f, 21_000)
+	waitsAbout(f, 22_000)
+	crowd := askedOf(messenger.PriorityDemand{Priority: 1, MilliSlots: 40_000})
+	tell(f, "a2", &messenger.Report{AvailabilityZone: "a", Demands: crowd})
+	require.Equal(t, 1, f.hosts["a1"].steerer.Snapshot().Short)
+	require.False(t, opensAt(f.caller(1, checkRoute)))
+	require.Contains(t, lastRefusal(f), "reason=noRoom")
+	require.True(t, opensAt(f.caller(2, readRoute)), "a part of the reads fits in: %s", lastRefusal(f))
+}
+
+// Symptom: urgent callers are refused, since more get in than fits. Sequence: a route
+// without an objective is asked for; how long its work takes is not learned. Cause: requests
+// that count as nothing.
+func TestWorkThatIsNotKnownCountsAsTheServicesOther(t *testing.T) {
+	f := newFleet(t, 1)
+	all := objectiveRoutes()
+	all[0].LatencyObjective = 0
+	f.settings = settingsOf(2, all)
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	before := f.hosts["a1"].steerer.Snapshot().Demand
+	for n := range 30 {
+		f.caller(100+n, readRoute).open("a1", 0)
+	}
+	f.step(60 * time.Millisecond)
+	f.caller(200, readRoute).open("a1", 0)
+	require.Greater(t, f.hosts["a1"].steerer.Snapshot().Demand, before+5)
+}
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -28,6 +28,8 @@
 	// work holds the usual time of work, by route: the median, with what requests wait on
 	// calm days, is close to the mean of the work alone.
 	work map[string]*usualTime
+	// anyWork is that time over all routes whose callers wait for longer than work takes.
+	anyWork usualTime
 }
 
 // noteOpeningTime takes in how long a flow took to open.
@@ -39,12 +41,19 @@
 
 // work is for how long a request of a route keeps a slot busy on average; 0 if unknown.
 // What an answer takes on its way is what a flow takes to open.
+//
+// What goes wrong if a route of which little is known counts as nothing: its callers take
+// room that higher priorities are told is theirs. So it counts as the service's other
+// requests do.
 func (s *Steerer) work(route Route, v *service) time.Duration {
 	w, ok := v.room.work[route.Name]
-	if !ok || !w.known() || route.LatencyObjective <= w.median {
-		return 0
+	switch {
+	case ok && w.known() && route.LatencyObjective > w.median:
+		return w.median
+	case v.room.anyWork.known():
+		return v.room.anyWork.median
 	}
-	return w.median
+	return 0
 }
 
 // learnRoom learns from an answer how long requests wait at a service.
@@ -56,7 +65,7 @@
 	v := s.service(f.target.Service)
 	a := v.room.admitter
 	if !u.tooQuick(took) {
-		v.room.learnWork(f.route.Name, took)
+		v.room.learnWork(&f.route, took)
 	}
 	spare := f.route.LatencyObjective - u.median
 	switch {
@@ -73,13 +82,18 @@
 
 // learnWork learns from an answer how long work takes. While many slots are taken, answers
 // tell more of waiting than of work.
-func (r *room) learnWork(route string, took time.Duration) {
-	w, ok := r.work[route]
+func (r *room) learnWork(route *Route, took time.Duration) {
+	w, ok := r.work[route.Name]
 	if !ok {
 		w = &usualTime{}
-		r.work[route] = w
+		r.work[route.Name] = w
+	}
+	work := max(took-r.opening.median, shortestUsual)
+	doubtful := r.admitter.Tells() || r.admitter.Waits()
+	w.add(work, doubtful)
+	if route.LatencyObjective > w.median {
+		r.anyWork.add(work, doubtful)
 	}
-	w.add(max(took-r.opening.median, shortestUsual), r.admitter.Tells() || r.admitter.Waits())
 }
 
 // assess brings the view of a service's room up to date.
