Sums of demand don't depend on the order of a map

Zone and fleet added up floats in the order in which a map gave the words: the last digits, and with them shares and credits, differed between two runs with equal events. They add up integers now, hundred-millionths of a slot.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -155,25 +155,27 @@
 // late, this one among them, times those that live. Callers are spread evenly over hosts,
 // and in a large zone a host hears only some of the others within a second.
 func (a *Admitter) Zone(now timekeeper.Instant) Demand {
-	sum, count := a.own.demand(now), 1
+	var told total
+	count := 1
 	for _, w := range a.hosts {
 		if now.Since(w.heard) <= hostMemory {
-			sum = sum.Plus(w.demand)
+			told.add(&w.demand)
 			count++
 		}
 	}
+	sum := a.own.demand(now).Plus(told.demand())
 	return sum.Times(float64(max(a.view.ZoneHosts, count)) / float64(count))
 }
 
 // fleet is what callers of all zones ask that were heard of late.
 func (a *Admitter) fleet(now timekeeper.Instant) Demand {
-	sum := a.Zone(now)
+	var told total
 	for _, w := range a.zones {
 		if now.Since(w.heard) <= zoneMemory {
-			sum = sum.Plus(w.demand)
+			told.add(&w.demand)
 		}
 	}
-	return sum
+	return a.Zone(now).Plus(told.demand())
 }
 
 // Assess works out anew which shares fit in, and reports whether the service has become
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -161,3 +161,26 @@
 	require.False(t, a.Short())
 	require.True(t, a.Admit(1))
 }
+
+// Symptom: a run that is repeated with equal events decides otherwise. Sequence: twelve
+// hosts tell their demand. Cause: floats that are added up in the order of a map.
+func TestSumsDoNotDependOnOrder(t *testing.T) {
+	hosts, zones := map[float64]int{}, map[float64]int{}
+	now := timekeeper.Instant(time.Millisecond)
+	for range 200 {
+		a := admitter.New()
+		view := admitter.View{Room: 1, ZoneHosts: 1, InTouch: true}
+		a.Assess(0, view)
+		for i := range 12 {
+			var d admitter.Demand
+			d.New[0] = 0.1 * float64(i*i+1) / 3
+			a.TakeHost(string(rune('a'+i)), d, now)
+			a.TakeZone(string(rune('a'+i)), d, now)
+		}
+		hosts[a.Zone(now).New[0]]++
+		a.Assess(now, view)
+		zones[a.Demand().New[0]]++
+	}
+	require.Len(t, hosts, 1)
+	require.Len(t, zones, 1)
+}
--- a/core/admitter/demand.go
+++ b/core/admitter/demand.go
@@ -49,6 +49,32 @@
 	return sum
 }
 
+// slotParts is how many parts of a slot a total tells apart: far more than reports do.
+const slotParts = 100_000_000
+
+// total adds up demands in parts of a slot.
+//
+// What goes wrong with floats: words are kept in maps, which give them in any order; the
+// sum depends on it in its last digits, so equal events give unequal decisions. Sums of
+// integers don't.
+type total struct{ open, new [Levels]int64 }
+
+func (t *total) add(d *Demand) {
+	for i := range Levels {
+		t.open[i] += int64(d.Open[i] * slotParts)
+		t.new[i] += int64(d.New[i] * slotParts)
+	}
+}
+
+func (t *total) demand() Demand {
+	var d Demand
+	for i := range Levels {
+		d.Open[i] = float64(t.open[i]) / slotParts
+		d.New[i] = float64(t.new[i]) / slotParts
+	}
+	return d
+}
+
 func level(priority int) int { return min(max(priority, 0), Levels-1) }
 
 // meter keeps the mean demand of a host's callers. The zero meter has seen none.
