The first answer of a host that starts in a crowd doesn't stick

The first time was taken whole and all doubtful ones moved it by a thousandth at most, so that a host that started in a crowd took work for as long as its first answer had waited.

--- a/core/steerer/usual.go
+++ b/core/steerer/usual.go
@@ -15,8 +15,8 @@
 	// the ordinary ones after it look quick.
 	usualStep = 0.003
 	// doubtfulStep is that part while a service is asked for more than it can do, or if the
-	// target is slow. At 50
-	// answers a second an overload of 6 s moves the estimate by a tenth at the most.
+	// target is slow. At 50 answers a second an overload of 6 s moves the estimate by a
+	// tenth at the most.
 	doubtfulStep = usualStep / 10
 	// shortestUsual keeps the estimate from zero, from which no step leads away.
 	shortestUsual = 100 * time.Microsecond
@@ -37,13 +37,16 @@
 	return u.known() && estimator.TooQuick(took, u.median)
 }
 
-// add takes in a time. One that came while targets were full
-// or slow says less of what is
-// usual, but not nothing: work may have become slower for good.
+// add takes in a time. One that came while targets were full or slow says less of what is
+// usual, but not nothing: work may have become slower for good. Until enough have come each
+// counts as much as any other.
+//
+// What goes wrong otherwise: a host starts in a crowd, its first answer has waited, and no
+// later one leads away from it for minutes.
 func (u *usualTime) add(took time.Duration, doubtful bool) {
 	u.samples++
 	step := 1 + max(usualStep, 1/float64(u.samples))
-	if doubtful {
+	if doubtful && u.known() {
 		step = 1 + doubtfulStep
 	}
 	switch {
