A host without callers says so

Since entries that tell nothing of demand are left out, a host whose own callers ask for nothing was no longer counted: its zone's demand was taken for twice what it is where one of two hosts had all callers (trial on the test). Where nothing is asked a report says so with an entry of zero.

--- a/core/steerer/admitting_test.go
+++ b/core/steerer/admitting_test.go
@@ -228,3 +228,20 @@
 	require.True(t, opensAt(c), lastRefusal(f))
 	require.NotEqual(t, failing, c.target)
 }
+
+// Symptom: a zone's demand is overstated twice, and callers are refused. Sequence: all callers
+// come to one of two hosts; the other has none. Cause: a host that says nothing of its
+// demand because there is none, and counts as one of which nothing is known.
+func TestHostWithoutCallersSaysSo(t *testing.T) {
+	f := calmPair(t)
+	for n := range 800 {
+		c := f.caller(2000+n, checkRoute)
+		c.open("a1", 0)
+		c.establish("a1")
+		if n%20 == 0 {
+			f.step(25 * time.Millisecond)
+		}
+	}
+	asked := 20 / 0.025 * 0.1 // Slots: requests a second times the time of work.
+	require.InDelta(t, asked, f.hosts["a1"].steerer.Snapshot().Demand, 0.3*asked)
+}
--- a/core/steerer/demands.go
+++ b/core/steerer/demands.go
@@ -27,7 +27,9 @@
 // openLevel marks what open flows ask: their priority p is told as -1-p.
 func openLevel(level int) int { return -1 - level }
 
-// toldDemand writes a demand for a report.
+// toldDemand writes a demand for a report. Where nothing is asked, it says so: who hears it
+// counts the sender as a host without callers, and an entry with nothing on demand is one
+// that tells only of flows.
 func toldDemand(service string, demand admitter.Demand) messenger.ServiceDemand {
 	told := messenger.ServiceDemand{Service: service}
 	add := func(priority int, slots float64) {
@@ -39,6 +41,9 @@
 		add(level, demand.New[level])
 		add(openLevel(level), demand.Open[level])
 	}
+	if len(told.Asked) == 0 {
+		told.Asked = append(told.Asked, messenger.PriorityDemand{})
+	}
 	return told
 }
 
