--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -54,14 +54,17 @@
 	// got in before it was noticed still waits.
 	settleSpan = time.Second
 	// aimedWait is the part of the callers' spare time that requests should wait on
-	// average. Waits spread about as much as their mean, so few are late; with less, slots
-	// stand idle between two requests.
+	// average. Waits spread about as much as their mean, so with this few callers are late;
+	// with less, slots stand idle between two requests while callers are refused.
 	aimedWait = 0.4
-	// idleWait is the mean wait below which nobody is refused: targets have slots free.
+	// idleWait is the mean wait below which nobody is refused. Requests that arrive by chance
+	// wait for that long at targets with slots free: a caller who is refused then would have
+	// been served in time.
 	idleWait = 0.1
-	// certainWait is the mean wait above which a priority for which nothing is left is shut out:
-	// what is asked is known to a quarter or so, and callers who are counted in two zones
-	// while they move look like a crowd.
+	// certainWait is the mean wait above which a priority for which nothing is left is shut
+	// out. All its callers lose then, so the estimate alone is no ground: callers who are
+	// counted in two zones while they move look like a crowd, too. Answers that use up a
+	// quarter of what callers can spare show that targets are full.
 	certainWait = 0.25
 	// waitStep is the part of each answer in the mean wait: some ten answers, a few tenths
 	// of a second at a host under load.
@@ -323,7 +326,9 @@
 // Waits reports whether admitted requests wait at targets.
 func (a *Admitter) Waits() bool { return a.wait >= idleWait }
 
-// Certain reports whether admitted requests wait for so long that a priority may be shut out.
+// Certain reports whether admitted requests wait for so long that room is surely short, and
+// a priority may be shut out: callers that would be served in time are not refused by an
+// estimate alone.
 func (a *Admitter) Certain() bool { return a.wait >= certainWait }
 
 // Crowded reports whether admitted requests wait for longer than they should.
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -27,6 +27,19 @@
 	refusedOverload
 )
 
+// refusesNew refuses a new flow whose caller has had its share, or for which there is no
+// room. It reports whether it did.
+func (s *Steerer) refusesNew(p *Packet, route *Route, service string, to *target) bool {
+	if s.throttled(p, route, service) {
+		return true
+	}
+	why := s.refuses(*route, service, to)
+	if why != notRefused {
+		s.refuseForRoom(p, *route, service, why)
+	}
+	return why != notRefused
+}
+
 // refuses decides whether the request of a new flow has to be refused.
 //
 // What goes wrong if all get in: their callers wait for answers that can't be in time, and
@@ -62,9 +75,10 @@
 	return v.load.Pressed() && s.waitingBeside(v, to) > 0
 }
 
-// wouldBeLate reports whether so many requests wait at this host that another would wait
-// for a good part of the time that answers take. While the fleet has room, a few that wait
-// are the unevenness of the moment, and no ground to refuse anybody.
+// wouldBeLate reports whether as many requests wait at this host as a quarter of what it may
+// have under way. The request of a new flow would wait for a quarter of the time of an
+// answer then. Fewer are the unevenness of the moment: while the fleet has room they are no
+// ground to refuse anybody.
 func (s *Steerer) wouldBeLate(v *service, to *target) bool {
 	return v.load.Pressed() && float64(s.waitingBeside(v, to)) >= lineShare*v.load.Window()
 }
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -53,15 +53,9 @@
 		s.refuseWithoutTarget(p, c)
 		return
 	}
-	if f == nil && s.throttled(p, &route, service) {
+	if f == nil && s.refusesNew(p, &route, service, to) {
 		return
 	}
-	if f == nil {
-		if why := s.refuses(route, service, to); why != notRefused {
-			s.refuseForRoom(p, route, service, why)
-			return
-		}
-	}
 	if f == nil || f.target != to {
 		s.notePlaced(to)
 	}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -316,7 +316,7 @@
 without "a bound on what zones are told of flows" steerer/telling.go 'len(r.ZoneDemands) >= maxDemands' 'false' TestZoneFlowsFitIntoAReport
 without "first answers that count alike" steerer/usual.go 'doubtful && u.known()' 'doubtful' TestFirstAnswerInACrowdDoesNotStick
 package=steerer
-without "callers' shares" steerer/steering.go 'if f == nil && s.throttled(p, &route, service) {' 'if false && s.throttled(p, &route, service) {' 'TestCallerThatRepeatsWithoutPauseIsRefusedFirst|TestQuotaHoldsOverTheHostsOfAZone'
+without "callers' shares" steerer/admitting.go 'if s.throttled(p, route, service) {' 'if false && s.throttled(p, route, service) {' 'TestCallerThatRepeatsWithoutPauseIsRefusedFirst|TestQuotaHoldsOverTheHostsOfAZone'
 without "shares only while room is short" steerer/throttling.go 'Short: s.shortOfRoom(service)}' 'Short: true || s.shortOfRoom(service)}' TestRefusalsOfACalmServiceAreNoShortage
 without "quotas over a zone" steerer/steerer.go '	s.shareQuotas()
 ' '' TestQuotaHoldsOverTheHostsOfAZone
