The only host of a zone shares room with other zones

A zone with one host was never in touch, so its host had no shares at all: its callers got in by its own window while other zones' were refused. It sees all that its zone asks, so word of any other zone is enough for it. A host that has neighbours and hears none of them goes by its own window as before.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -94,8 +94,9 @@
 	Room float64
 	// ZoneHosts is how many hosts of the own zone live, this one among them.
 	ZoneHosts int
-	// InTouch says that another host of the own zone has reported of late. One that is alone
-	// sees all that its callers ask in its own window.
+	// InTouch says that another host of the own zone has reported of late, or one of another
+	// zone if the own has no other. One that is alone sees all that its callers ask in its
+	// own window.
 	InTouch bool
 }
 
--- a/core/steerer/admitting_test.go
+++ b/core/steerer/admitting_test.go
@@ -245,3 +245,30 @@
 	asked := 20 / 0.025 * 0.1 // Slots: requests a second times the time of work.
 	require.InDelta(t, asked, f.hosts["a1"].steerer.Snapshot().Demand, 0.3*asked)
 }
+
+// Symptom: the only host of a zone lets everybody in while other zones' hosts refuse, so its
+// callers get more than their part, and urgent ones elsewhere less. Sequence: the service is
+// short; the zone never had another host. Cause: a host without neighbours that counts as
+// one that is cut off from them.
+func TestOnlyHostOfAZoneSharesRoomWithOtherZones(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.settings = settingsOf(2, objectiveRoutes())
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	press(f, 21_000)
+	report := &messenger.Report{Address: f.hosts["b1"].address, Incarnation: 1, AvailabilityZone: "b", ZoneDemands: urgentCrowd()}
+	f.reduce("a1", &steerer.ReportReceived{From: "b1", Report: report})
+	f.step(60 * time.Millisecond)
+	require.Equal(t, 1, f.hosts["a1"].steerer.Snapshot().Short)
+	require.False(t, opensAt(f.caller(1, readRoute)))
+	require.Contains(t, lastRefusal(f), "reason=noRoom")
+	f.kill("b1")
+	f.step(zoneHostMemory + time.Second)
+	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Short, "nobody is heard any more")
+	require.True(t, opensAt(f.caller(2, readRoute)))
+}
+
+// zoneHostMemory is how long another zone's hosts count as heard.
+const zoneHostMemory = 4 * time.Second
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -119,7 +119,7 @@
 	v.room.assessDeadline = s.now.Add(assessEvery)
 	a := v.room.admitter
 	reach := s.look()
-	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.heard}
+	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.inTouch()}
 	if !a.Assess(s.now, view) {
 		return
 	}
@@ -178,9 +178,10 @@
 type reach struct {
 	deadline timekeeper.Instant
 	// living counts the other hosts of the own zone that live as far as anybody says, heard
-	// says that one of them has reported of late.
+	// says that one of them has reported of late, near that there are any, living or not.
 	living int
 	heard  bool
+	near   bool
 	// known are the other zones of which a host has ever been heard, fresh those of which
 	// one has been of late.
 	known map[string]bool
@@ -191,6 +192,11 @@
 // asked there is not known, and its targets may be out of reach.
 func (r *reach) unheard(zone string) bool { return r.known[zone] && !r.fresh[zone] }
 
+// inTouch reports whether this host hears enough of others to share room with them. The only
+// host of a zone sees all that the zone's callers ask; what it needs is word of other zones.
+// One that has neighbours and hears none of them may be cut off, and knows only a part.
+func (r *reach) inTouch() bool { return r.heard || (!r.near && len(r.fresh) > 0) }
+
 // look brings up to date which hosts and zones are heard from.
 func (s *Steerer) look() *reach {
 	r := &s.reach
@@ -203,10 +209,15 @@
 		switch {
 		case p.zone != s.config.AvailabilityZone:
 			r.known[p.zone] = r.known[p.zone] || p.heard != 0
-			r.fresh[p.zone] = r.fresh[p.zone] || (p.heard != 0 && s.now.Since(p.heard) < zoneHostMemory)
+			if p.heard != 0 && s.now.Since(p.heard) < zoneHostMemory {
+				r.fresh[p.zone] = true
+			}
 		case p.mentioned(s.now, silence):
+			r.near = true
 			r.living++
 			r.heard = r.heard || p.hears(s.now)
+		default:
+			r.near = true
 		}
 	}
 	return r
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -305,7 +305,9 @@
 
 package=steerer
 without "refusals when nothing is left" steerer/admitting.go 'case nothingLeft && a.Certain():' 'case false && nothingLeft:' TestNothingLeftForReadsRefusesThemAtOnce
-without "the own window of hosts out of touch" steerer/room.go 'InTouch: reach.heard}' 'InTouch: true}' TestHostOutOfTouchGoesByItsOwnWindow
+without "the own window of hosts out of touch" steerer/room.go 'InTouch: reach.inTouch()}' 'InTouch: true}' TestHostOutOfTouchGoesByItsOwnWindow
+without "shares at the only host of a zone" steerer/room.go 'InTouch: reach.inTouch()}' 'InTouch: reach.heard}' TestOnlyHostOfAZoneSharesRoomWithOtherZones
+without "neighbours that are out of touch" steerer/room.go '(!r.near && len(r.fresh) > 0)' 'len(r.fresh) > 0' TestHostOutOfTouchGoesByItsOwnWindow
 without "demand of other zones" steerer/demands.go 'v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
 without "demand in reports" steerer/demands.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
 without "what can't run again where nothing is left" steerer/admitting.go 'case nothingLeft && a.Certain():' 'case nothingLeft && a.Certain() && route.Kind.repeatable():' TestLowPriorityThatCantRunAgainGetsNoRoomBeforeHigherOnes
