--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -54,14 +54,17 @@
 	// got in before it was noticed still waits.
 	settleSpan = time.Second
 	// aimedWait is the part of the callers' spare time that requests should wait on
-	// average. Waits spread about as much as their mean, so few are late; with less, slots
-	// stand idle between two requests.
+	// average. Waits spread about as much as their mean, so with this few callers are late;
+	// with less, slots stand idle between two requests while callers are refused.
 	aimedWait = 0.4
-	// idleWait is the mean wait below which nobody is refused: targets have slots free.
+	// idleWait is the mean wait below which nobody is refused. Requests that arrive by chance
+	// wait for that long at targets with slots free: a caller who is refused then would have
+	// been served in time.
 	idleWait = 0.1
-	// certainWait is the mean wait above which a priority for which nothing is left is shut out:
-	// what is asked is known to a quarter or so, and callers who are counted in two zones
-	// while they move look like a crowd.
+	// certainWait is the mean wait above which a priority for which nothing is left is shut
+	// out. All its callers lose then, so the estimate alone is no ground: callers who are
+	// counted in two zones while they move look like a crowd, too. Answers that use up a
+	// quarter of what callers can spare show that targets are full.
 	certainWait = 0.25
 	// waitStep is the part of each answer in the mean wait: some ten answers, a few tenths
 	// of a second at a host under load.
@@ -91,8 +94,9 @@
 	Room float64
 	// ZoneHosts is how many hosts of the own zone live, this one among them.
 	ZoneHosts int
-	// InTouch says that another host of the own zone has reported of late. One that is alone
-	// sees all that its callers ask in its own window.
+	// InTouch says that another host of the own zone has reported of late, or one of another
+	// zone if the own has no other. One that is alone sees all that its callers ask in its
+	// own window.
 	InTouch bool
 }
 
@@ -155,25 +159,27 @@
 // late, this one among them, times those that live. Callers are spread evenly over hosts,
 // and in a large zone a host hears only some of the others within a second.
 func (a *Admitter) Zone(now timekeeper.Instant) Demand {
-	sum, count := a.own.demand(now), 1
+	var told total
+	count := 1
 	for _, w := range a.hosts {
 		if now.Since(w.heard) <= hostMemory {
-			sum = sum.Plus(w.demand)
+			told.add(&w.demand)
 			count++
 		}
 	}
+	sum := a.own.demand(now).Plus(told.demand())
 	return sum.Times(float64(max(a.view.ZoneHosts, count)) / float64(count))
 }
 
 // fleet is what callers of all zones ask that were heard of late.
 func (a *Admitter) fleet(now timekeeper.Instant) Demand {
-	sum := a.Zone(now)
+	var told total
 	for _, w := range a.zones {
 		if now.Since(w.heard) <= zoneMemory {
-			sum = sum.Plus(w.demand)
+			told.add(&w.demand)
 		}
 	}
-	return sum
+	return a.Zone(now).Plus(told.demand())
 }
 
 // Assess works out anew which shares fit in, and reports whether the service has become
@@ -256,14 +262,17 @@
 	return 1 - math.Pow(1-max(part, 0), 1.0/mostTries)
 }
 
-// sharesOf shares out room among new requests, the highest priority first.
+// sharesOf shares out room among new requests, the highest priority first. A priority of
+// which nothing was asked of late fits in if anything is left.
 func sharesOf(room float64, demand Demand) [Levels]float64 {
 	var shares [Levels]float64
 	for i := range shares {
 		room -= demand.Open[i]
-		shares[i] = 1
-		if demand.New[i] > 0 {
+		switch {
+		case demand.New[i] > 0:
 			shares[i] = shareOf(room / demand.New[i])
+		case room > 0:
+			shares[i] = 1
 		}
 		room -= demand.New[i]
 	}
@@ -318,7 +327,9 @@
 // Waits reports whether admitted requests wait at targets.
 func (a *Admitter) Waits() bool { return a.wait >= idleWait }
 
-// Certain reports whether admitted requests wait for so long that a priority may be shut out.
+// Certain reports whether admitted requests wait for so long that room is surely short, and
+// a priority may be shut out: callers that would be served in time are not refused by an
+// estimate alone.
 func (a *Admitter) Certain() bool { return a.wait >= certainWait }
 
 // Crowded reports whether admitted requests wait for longer than they should.
--- a/core/steerer/admitting_test.go
+++ b/core/steerer/admitting_test.go
@@ -143,3 +143,132 @@
 	tell(f, "a2", report)
 	require.InDelta(t, before, f.hosts["a1"].steerer.Snapshot().Demand, 1)
 }
+
+// Symptom: a zone that is short lets everybody in for some seconds. Sequence: another zone
+// tells what its callers ask; a second host of it, which knows of no demand, tells only how
+// many flows targets have. Cause: a word of flows that is taken for one of no demand.
+func TestWordOfFlowsIsNoWordOfDemand(t *testing.T) {
+	f := calmPair(t)
+	before := f.hosts["a1"].steerer.Snapshot().Demand
+	tell(f, "b9", &messenger.Report{AvailabilityZone: "b", ZoneDemands: urgentCrowd()})
+	require.InDelta(t, before+24, f.hosts["a1"].steerer.Snapshot().Demand, 2)
+	tell(f, "b8", &messenger.Report{AvailabilityZone: "b", ZoneDemands: []messenger.ServiceDemand{{Service: "ledger", Flows: 9}}})
+	require.InDelta(t, before+24, f.hosts["a1"].steerer.Snapshot().Demand, 2)
+}
+
+// waitsAbout lets answers be late by so much that requests wait for a third of their
+// callers' spare time.
+func waitsAbout(f *fleet, from int) {
+	for n := range 40 {
+		answerAfter(f, "a1", from+n, 150*time.Millisecond)
+	}
+}
+
+// Symptom: checks of a low priority get in while reads of a higher one are refused.
+// Sequence: reads of a higher priority take all that is left; a check opens. Cause: requests
+// that may not run again get in whatever the shares say until targets are full.
+func TestLowPriorityThatCantRunAgainGetsNoRoomBeforeHigherOnes(t *testing.T) {
+	f := newFleet(t, 2)
+	all := objectiveRoutes()
+	all[0].Priority, all[1].Priority = 1, 2
+	f.settings = settingsOf(2, all)
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	press(f, 21_000)
+	waitsAbout(f, 22_000)
+	crowd := askedOf(messenger.PriorityDemand{Priority: 1, MilliSlots: 40_000})
+	tell(f, "a2", &messenger.Report{AvailabilityZone: "a", Demands: crowd})
+	require.Equal(t, 1, f.hosts["a1"].steerer.Snapshot().Short)
+	require.False(t, opensAt(f.caller(1, checkRoute)))
+	require.Contains(t, lastRefusal(f), "reason=noRoom")
+	require.True(t, opensAt(f.caller(2, readRoute)), "a part of the reads fits in: %s", lastRefusal(f))
+}
+
+// Symptom: urgent callers are refused, since more get in than fits. Sequence: a route
+// without an objective is asked for; how long its work takes is not learned. Cause: requests
+// that count as nothing.
+func TestWorkThatIsNotKnownCountsAsTheServicesOther(t *testing.T) {
+	f := newFleet(t, 1)
+	all := objectiveRoutes()
+	all[0].LatencyObjective = 0
+	f.settings = settingsOf(2, all)
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	before := f.hosts["a1"].steerer.Snapshot().Demand
+	for n := range 30 {
+		f.caller(100+n, readRoute).open("a1", 0)
+	}
+	f.step(60 * time.Millisecond)
+	f.caller(200, readRoute).open("a1", 0)
+	require.Greater(t, f.hosts["a1"].steerer.Snapshot().Demand, before+5)
+}
+
+// Symptom: flows to quick targets with slots free are refused while requests of open flows
+// wait for slow ones. Sequence: a target turns slow; its service is pressed, and what its
+// open flows ask waits at the host. Cause: lines that count whatever they wait for.
+func TestWaitForSlowTargetsRefusesNobody(t *testing.T) {
+	f := pressedHost(t)
+	waiting := openOn(f, "a1", failing, 1000, true)
+	slow := flowsAt(f, "a1", failing, 2000, 3)
+	for range 4 {
+		askAll(f, "a1", slow, 2*time.Second)
+	}
+	require.Greater(t, statusOf(f, "a1", failing).Slowness, 1.5*statusOf(f, "a1", "i-10000002").Slowness)
+	require.Equal(t, 1, f.hosts["a1"].steerer.Snapshot().Pressed)
+	for _, one := range slow {
+		one.ask("a1") // They take what this host may have under way.
+	}
+	waiting.ask("a1")
+	require.Equal(t, 1, paced(f))
+	c := f.caller(2, readRoute)
+	require.True(t, opensAt(c), lastRefusal(f))
+	require.NotEqual(t, failing, c.target)
+}
+
+// Symptom: a zone's demand is overstated twice, and callers are refused. Sequence: all callers
+// come to one of two hosts; the other has none. Cause: a host that says nothing of its
+// demand because there is none, and counts as one of which nothing is known.
+func TestHostWithoutCallersSaysSo(t *testing.T) {
+	f := calmPair(t)
+	for n := range 800 {
+		c := f.caller(2000+n, checkRoute)
+		c.open("a1", 0)
+		c.establish("a1")
+		if n%20 == 0 {
+			f.step(25 * time.Millisecond)
+		}
+	}
+	asked := 20 / 0.025 * 0.1 // Slots: requests a second times the time of work.
+	require.InDelta(t, asked, f.hosts["a1"].steerer.Snapshot().Demand, 0.3*asked)
+}
+
+// Symptom: the only host of a zone lets everybody in while other zones' hosts refuse, so its
+// callers get more than their part, and urgent ones elsewhere less. Sequence: the service is
+// short; the zone never had another host. Cause: a host without neighbours that counts as
+// one that is cut off from them.
+func TestOnlyHostOfAZoneSharesRoomWithOtherZones(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.settings = settingsOf(2, objectiveRoutes())
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	press(f, 21_000)
+	report := &messenger.Report{Address: f.hosts["b1"].address, Incarnation: 1, AvailabilityZone: "b", ZoneDemands: urgentCrowd()}
+	f.reduce("a1", &steerer.ReportReceived{From: "b1", Report: report})
+	f.step(60 * time.Millisecond)
+	require.Equal(t, 1, f.hosts["a1"].steerer.Snapshot().Short)
+	require.False(t, opensAt(f.caller(1, readRoute)))
+	require.Contains(t, lastRefusal(f), "reason=noRoom")
+	f.kill("b1")
+	f.step(zoneHostMemory + time.Second)
+	require.Zero(t, f.hosts["a1"].steerer.Snapshot().Short, "nobody is heard any more")
+	require.True(t, opensAt(f.caller(2, readRoute)))
+}
+
+// zoneHostMemory is how long another zone's hosts count as heard.
+const zoneHostMemory = 4 * time.Second
--- a/core/steerer/demands.go
+++ b/core/steerer/demands.go
@@ -27,7 +27,9 @@
 // openLevel marks what open flows ask: their priority p is told as -1-p.
 func openLevel(level int) int { return -1 - level }
 
-// toldDemand writes a demand for a report.
+// toldDemand writes a demand for a report. Where nothing is asked, it says so: who hears it
+// counts the sender as a host without callers, and an entry with nothing on demand is one
+// that tells only of flows.
 func toldDemand(service string, demand admitter.Demand) messenger.ServiceDemand {
 	told := messenger.ServiceDemand{Service: service}
 	add := func(priority int, slots float64) {
@@ -39,6 +41,9 @@
 		add(level, demand.New[level])
 		add(openLevel(level), demand.Open[level])
 	}
+	if len(told.Asked) == 0 {
+		told.Asked = append(told.Asked, messenger.PriorityDemand{})
+	}
 	return told
 }
 
@@ -57,7 +62,8 @@
 }
 
 // takeDemands takes in what a report tells of demand. Services that nobody lists are left
-// out, so that no word makes this host keep them.
+// out, so that no word makes this host keep them, and so are entries that tell only of
+// flows: their sender says nothing of demand, not that there is none.
 func (s *Steerer) takeDemands(r *messenger.Report, from *peer) {
 	near := from.zone == s.config.AvailabilityZone
 	all := r.ZoneDemands
@@ -65,7 +71,7 @@
 		all = r.Demands
 	}
 	for _, told := range all {
-		if len(s.targets.byService[told.Service]) == 0 {
+		if len(told.Asked) == 0 || len(s.targets.byService[told.Service]) == 0 {
 			continue
 		}
 		v := s.service(told.Service)
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,8 +27,14 @@
 	// opening is the usual time until a flow opens: what answers take besides work.
 	opening usualTime
 	// work holds the usual time of work, by route: the median, with what requests wait on
-	// calm days, is close to the mean of the work alone.
+	// calm days, is close to the mean of the work alone. The same answers teach
+	// Steerer.usual, which differs: it holds what callers wait for in all, with the way, and
+	// goes on learning where more than half of the room is asked for, since lateness is
+	// measured against it. A time of work that took in the waits of a crowd would make the
+	// crowd look larger still.
 	work map[string]*usualTime
+	// anyWork is that time over all routes whose callers wait for longer than work takes.
+	anyWork usualTime
 }
 
 // noteOpeningTime takes in how long a flow took to open.
@@ -39,12 +46,19 @@
 
 // work is for how long a request of a route keeps a slot busy on average; 0 if unknown.
 // What an answer takes on its way is what a flow takes to open.
+//
+// What goes wrong if a route of which little is known counts as nothing: its callers take
+// room that higher priorities are told is theirs. So it counts as the service's other
+// requests do.
 func (s *Steerer) work(route Route, v *service) time.Duration {
 	w, ok := v.room.work[route.Name]
-	if !ok || !w.known() || route.LatencyObjective <= w.median {
-		return 0
+	switch {
+	case ok && w.known() && route.LatencyObjective > w.median:
+		return w.median
+	case v.room.anyWork.known():
+		return v.room.anyWork.median
 	}
-	return w.median
+	return 0
 }
 
 // learnRoom learns from an answer how long requests wait at a service.
@@ -56,7 +70,7 @@
 	v := s.service(f.target.Service)
 	a := v.room.admitter
 	if !u.tooQuick(took) {
-		v.room.learnWork(f.route.Name, took)
+		v.room.learnWork(&f.route, took)
 	}
 	spare := f.route.LatencyObjective - u.median
 	switch {
@@ -73,13 +87,28 @@
 
 // learnWork learns from an answer how long work takes. While many slots are taken, answers
 // tell more of waiting than of work.
-func (r *room) learnWork(route string, took time.Duration) {
-	w, ok := r.work[route]
+func (r *room) learnWork(route *Route, took time.Duration) {
+	w, ok := r.work[route.Name]
 	if !ok {
 		w = &usualTime{}
-		r.work[route] = w
+		r.work[route.Name] = w
+	}
+	work := max(took-r.opening.median, shortestUsual)
+	doubtful := r.admitter.Tells() || r.admitter.Waits()
+	w.add(work, doubtful)
+	if route.LatencyObjective > w.median {
+		r.anyWork.add(work, doubtful)
+	}
+}
+
+// forgetWork drops what is known of the work of routes that settings don't list.
+func (s *Steerer) forgetWork(settings *Settings) {
+	for _, v := range s.services {
+		maps.DeleteFunc(v.room.work, func(name string, _ *usualTime) bool {
+			_, listed := settings.named(name)
+			return !listed
+		})
 	}
-	w.add(max(took-r.opening.median, shortestUsual), r.admitter.Tells() || r.admitter.Waits())
 }
 
 // assess brings the view of a service's room up to date.
@@ -90,7 +119,7 @@
 	v.room.assessDeadline = s.now.Add(assessEvery)
 	a := v.room.admitter
 	reach := s.look()
-	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.heard}
+	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.inTouch()}
 	if !a.Assess(s.now, view) {
 		return
 	}
@@ -149,9 +178,10 @@
 type reach struct {
 	deadline timekeeper.Instant
 	// living counts the other hosts of the own zone that live as far as anybody says, heard
-	// says that one of them has reported of late.
+	// says that one of them has reported of late, near that there are any, living or not.
 	living int
 	heard  bool
+	near   bool
 	// known are the other zones of which a host has ever been heard, fresh those of which
 	// one has been of late.
 	known map[string]bool
@@ -162,6 +192,11 @@
 // asked there is not known, and its targets may be out of reach.
 func (r *reach) unheard(zone string) bool { return r.known[zone] && !r.fresh[zone] }
 
+// inTouch reports whether this host hears enough of others to share room with them. The only
+// host of a zone sees all that the zone's callers ask; what it needs is word of other zones.
+// One that has neighbours and hears none of them may be cut off, and knows only a part.
+func (r *reach) inTouch() bool { return r.heard || (!r.near && len(r.fresh) > 0) }
+
 // look brings up to date which hosts and zones are heard from.
 func (s *Steerer) look() *reach {
 	r := &s.reach
@@ -174,10 +209,15 @@
 		switch {
 		case p.zone != s.config.AvailabilityZone:
 			r.known[p.zone] = r.known[p.zone] || p.heard != 0
-			r.fresh[p.zone] = r.fresh[p.zone] || (p.heard != 0 && s.now.Since(p.heard) < zoneHostMemory)
+			if p.heard != 0 && s.now.Since(p.heard) < zoneHostMemory {
+				r.fresh[p.zone] = true
+			}
 		case p.mentioned(s.now, silence):
+			r.near = true
 			r.living++
 			r.heard = r.heard || p.hears(s.now)
+		default:
+			r.near = true
 		}
 	}
 	return r
