Send an opening packet on only if its first target can't have taken it

Cause: an opening that waited at a target believed full was sent to a second target without a check, and one that waited when a check found the target full was sent on or refused, though it may have been the one that filled it.

Change: always a check first; only flows placed after the target was found full, or repeated by their callers here, are sent on; nothing that waits is refused; copies go elsewhere only if the target was found full. A target found full may be checked again at once.

--- a/core/steerer/crowding.go
+++ b/core/steerer/crowding.go
@@ -1,6 +1,10 @@
 package steerer
 
-import "slices"
+import (
+	"slices"
+
+	"cranberryspan.dev/core/timekeeper"
+)
 
 // maxSentOn bounds the targets to which this host sends an opening packet after the first:
 // a caller gives up after 1.4 s, and each takes a round trip, a check and a tick or two.
@@ -14,11 +18,19 @@
 	}
 }
 
-// mayBeFull reports whether the target of a flow that has not opened may be full. Copies of
-// its opening packet then go elsewhere although the target works.
+// mayBeFull reports whether the target of a flow that has not opened was found full of late.
+// Copies of its opening packet then go elsewhere although the target works.
+//
+// What goes wrong if belief is enough: the target has taken the flow, its answer is lost, and
+// the copy opens the flow at a second target.
 func (s *Steerer) mayBeFull(f *flow) bool {
 	v := s.connections.tight[f.target.Service]
-	return v != nil && !f.opened && s.belief(f.target, v).Sum() >= v.bound-v.bound/mostReserved
+	return v != nil && !f.opened && f.target.foundFullOf(s.now)
+}
+
+// foundFullOf reports whether a target was found full within some time before a moment.
+func (t *target) foundFullOf(at timekeeper.Instant) bool {
+	return t.foundFullAt != 0 && t.foundFullAt < at && at.Since(t.foundFullAt) < probeEvery
 }
 
 // watchCopy looks at a copy of an opening packet as at the first, if its target may be full,
@@ -41,43 +53,51 @@
 	if v == nil || f.request == nil || !s.trusts() {
 		return
 	}
-	full := f.target.foundFullAt != 0 && s.now.Since(f.target.foundFullAt) < probeEvery
-	if full || s.belief(f.target, v).Sum() >= v.bound {
-		s.sendOn(key, f)
-		return
-	}
 	s.probe(f.target, s.checkPatience(f.target, f.openedAt))
 }
 
 // foundFull takes in that a target has cut a check short. If flows wait there to open, it is
-// full: it answers nothing to their opening packets, so that these can be sent on.
+// full. It may have become so by what it has just taken, so only some are sent on; see
+// neverTaken. The next flow that waits there is checked at once.
 func (s *Steerer) foundFull(t *target) {
 	v := s.connections.tight[t.Service]
 	if v == nil {
 		return
 	}
-	var keys []flowKey
+	var keys, never []flowKey
 	for _, check := range s.opening {
 		f := s.flows[check.key]
 		if f != nil && f.target == t && !f.opened && f.request != nil && f.openedAt == check.since {
 			keys = append(keys, check.key)
+			if f.neverTaken() {
+				never = append(never, check.key)
+			}
 		}
 	}
 	if len(keys) == 0 {
 		return
 	}
 	for _, key := range keys {
-		s.releasePlace(s.flows[key]) // It holds no place there.
+		s.releasePlace(s.flows[key]) // It holds none there, or one among those that fill the target.
 	}
 	before := s.belief(t, v)
 	t.foundFullAt = s.now
+	t.health.probeDeadline = s.now
 	s.connections.limiter.Full(s.connections.limiter.Target(uint32(t.tag)), v.bound, s.guess(t, v), s.now)
 	s.logConnections("targetFull", t, v, s.belief(t, v), field("cause", "checkCut"), field("believed", itoa(before.Sum())), field("waiting", itoa(len(keys))))
-	for _, key := range keys {
+	for _, key := range never {
 		s.sendOn(key, s.flows[key])
 	}
 }
 
+// neverTaken reports whether a flow that waits at a full target can't be open there: it was
+// placed when the target was full already, or its caller has repeated itself here.
+//
+// What goes wrong if all that wait are sent on: a target takes a flow as its last, the caller
+// goes on through another host, and this one opens the flow at a second target. One notices
+// by resets of flows that were open.
+func (f *flow) neverTaken() bool { return f.repeated || f.target.foundFullOf(f.openedAt) }
+
 // sendOn sends an opening packet that its target does not take to another.
 //
 // In general an opening packet goes to one target at a time, since two that both answer
@@ -86,14 +106,10 @@
 	if f.sentOn == maxSentOn {
 		return
 	}
-	p := Packet{Caller: key.caller, Service: key.service, Flags: FlagOpen, Data: f.request}
 	c := choice{route: f.route, service: f.target.Service, hash: key.hash(), avoid: f.target}
-	s.releasePlace(f)
 	to := s.choose(c)
 	if to == nil || to == f.target {
-		s.refuseFull(&p, &c)
-		s.forget(key, f)
-		return
+		return // Its caller repeats itself, and is refused if there is still none.
 	}
 	s.counts.add(SentOn)
 	s.log("flowSentOn", field("flow", key.caller.String()), field("from", f.target.ID), field("target", to.ID), field("waitedMillis", millis(s.now.Since(f.openedAt))))
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -33,11 +33,12 @@
 	opened bool
 	// askedFor says that the flow's first request was counted when it opened.
 	askedFor bool
-	// copied says that copies of the opening packet came.
 	// place counts the flow among those that its target holds; nil if it is not.
 	place *limiter.Target
 	// copied says that copies of the opening packet came, or that this host sent it on.
 	copied bool
+	// repeated says that the caller has repeated its opening packet at this host.
+	repeated bool
 	// sentOn counts the targets after the first to which this host has sent it.
 	sentOn uint8
 	// openedAt is when the first opening packet went out.
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -104,6 +104,7 @@
 func (s *Steerer) noteCopy(f *flow, to *target) {
 	s.noteStall(f.target, "openingCopy", f.openedAt)
 	f.copied = true
+	f.repeated = true
 	f.lastPacket = s.now
 	if f.target != to {
 		s.move(f, to)
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -287,7 +287,10 @@
 without "places for higher priority" steerer/places.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
 without "places for checks" steerer/places.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
 without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
-without "memory of targets found full" steerer/crowding.go 'full := f.target.foundFullAt != 0' 'full := false && f.target.foundFullAt != 0' TestTargetThatWasJustFoundFullIsNotWaitedFor
+without "checks of targets just found full" steerer/crowding.go 't.health.probeDeadline = s.now' '_ = s.now' TestTargetThatWasJustFoundFullIsNotWaitedFor
+without "memory of targets found full" steerer/crowding.go 'return f.repeated || f.target.foundFullOf(f.openedAt)' 'return f.repeated' TestTargetThatWasJustFoundFullIsNotWaitedFor
+without "openings left to full targets that may have taken them" steerer/crowding.go 'if f.neverTaken() {' 'if f.neverTaken() || true {' TestFlowThatOpenedThroughAnotherHostIsNotReset
+without "copies that go back unless a target was found full" steerer/crowding.go '!f.opened && f.target.foundFullOf(s.now)' '!f.opened' TestCopyGoesToTheFirstTargetThatLives
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
 without "word of full zones" steerer/reports.go 's.addZoneFlows(r)' '_ = r' TestZonesTellEachOtherHowFullTheyAre
 without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
