Word of flows in large zones: how long a host may be silent, and of what it has told

Cause: a host of a zone of 100 is heard each eight seconds or so, and was taken to have ended after four; word after such a silence was held against what it had told before; a host that had told of 120 targets counted as one that had told of all; hosts that have ended counted as tellers; receivers shared the turns of a report, and targets without flows took places in it.

Change: the silence follows the zone's hosts and the reports of a round; a silent host's flows fade in place and count anew once it is heard; tellers are counted for each target; each receiver has turns of its own.

--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -30,10 +30,19 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// nearSilence is after how long a host of the own zone that tells nothing is taken to have
-// ended: some of its reports in a row would have been lost. Its callers' flows come to
-// other hosts as they send something.
-const nearSilence = 4 * time.Second
+const (
+	// NearEvery is the time between two rounds in which a host tells hosts of its zone, and
+	// NearFanout how many of them it tells in a round where there are many.
+	NearEvery  = 250 * time.Millisecond
+	NearFanout = 3
+	// leastSilence is after how long a host of the own zone that tells nothing is taken to
+	// have ended, where all are told in each round: some of its reports in a row would have
+	// been lost. Its callers' flows come to other hosts as they send something.
+	leastSilence = 4 * time.Second
+	// turnsMissed times the rounds that it takes to tell all hosts of a zone is that time
+	// in a large one. A host that is first in one order may be last in the next.
+	turnsMissed = 2
+)
 
 // turnSpan is how long hosts that have their turn at the last places of a target keep it:
 // as long as their news takes to the others.
@@ -84,6 +93,8 @@
 	// Flows are the host's flows by target. A target that is left out holds as many as
 	// were told last.
 	Flows map[uint32]uint16
+	// Partial says that the host has flows at more targets than it could tell of.
+	Partial bool
 }
 
 // Limiter is what one host knows of the flows at all targets. It belongs to one owner.
@@ -95,17 +106,22 @@
 	idle    time.Duration
 	targets map[uint32]*Target
 	holders map[string]*holder
-	// tellers counts the holders of the own zone, silent the hosts of the own zone that
-	// live and have told nothing.
+	// living counts the other hosts of the own zone that live. tellers counts those of the
+	// zone that have told of their flows of late, whole those of them that have told of all.
+	living  int
 	tellers int
-	silent  int
+	whole   int
 }
 
 // holder is another host that has told what it holds.
 type holder struct {
 	incarnation uint64
 	near        bool
-	heard       timekeeper.Instant
+	// partial says that the host holds flows at targets of which it has not told.
+	partial bool
+	// silent says that nothing was heard of it for too long; its flows end bit by bit.
+	silent bool
+	heard  timekeeper.Instant
 	flows       map[uint32]uint16
 	// former is what the host held before it started again, at formerSince. Its flows are
 	// still at the targets, but the host knows of them only once they send something.
@@ -119,6 +135,9 @@
 type Target struct {
 	own  int
 	told int
+	// partial counts the hosts of the own zone that have told of this target, of those that
+	// have not told of all.
+	partial int
 	// net is how many more flows this host has placed there than have ended.
 	net int
 	// freed counts places that this host's flows have left of late, the last at freedAt.
@@ -151,26 +170,39 @@
 
 // Forget drops what is known of a target that has ended, or has started again.
 func (l *Limiter) Forget(tag uint32) {
-	delete(l.targets, tag)
 	for _, h := range l.holders {
-		delete(h.flows, tag)
+		l.unlist(h, tag)
 		delete(h.former, tag)
 		delete(h.counted, tag)
 	}
+	delete(l.targets, tag)
 }
 
 // SetIdle changes after how long a flow that sends nothing has ended.
 func (l *Limiter) SetIdle(idle time.Duration) { l.idle = idle }
 
 // SetNear takes in how many other hosts of the own zone live.
-func (l *Limiter) SetNear(living int) { l.silent = max(living-l.tellers, 0) }
+func (l *Limiter) SetNear(living int) { l.living = living }
+
+// silence is after how long a host of the own zone that tells nothing has ended.
+func (l *Limiter) silence() time.Duration {
+	rounds := (l.others() + NearFanout - 1) / NearFanout
+	return max(leastSilence, turnsMissed*time.Duration(rounds)*NearEvery)
+}
+
+// others is how many other hosts the own zone has.
+func (l *Limiter) others() int { return max(l.living, l.tellers) }
+
+// Tellers is how many hosts of the own zone have told what they hold at a target, be it
+// nothing.
+func (l *Limiter) Tellers(t *Target) int { return l.whole + t.partial }
 
 // PerHost is how many flows at a target a host of the own zone has on average, given this
-// host's flows at some of the zone's targets and those that it was told of. What others have
-// goes first: this host may have started just now.
-func (l *Limiter) PerHost(own, told, targets int) float64 {
-	if l.tellers > 0 {
-		return float64(told) / float64(max(targets, 1)) / float64(l.tellers)
+// host's flows at some of the zone's targets, those that it was told of, and the sum of the
+// targets' tellers. What others have goes first: this host may have started just now.
+func (l *Limiter) PerHost(own, told, targets, tellers int) float64 {
+	if tellers > 0 {
+		return float64(told) / float64(tellers)
 	}
 	return float64(own) / float64(max(targets, 1))
 }
@@ -212,35 +244,84 @@
 	if !ok {
 		h = &holder{incarnation: w.Incarnation, near: w.Near, flows: map[uint32]uint16{}, counted: map[uint32]int{}}
 		l.holders[host] = h
-		l.tellers += oneIf(w.Near)
+		l.countTeller(h, 1)
 	}
 	if h.incarnation != w.Incarnation {
-		h.incarnation = w.Incarnation
 		l.retire(h)
+		h.incarnation = w.Incarnation
 	}
-	h.heard = now
+	l.hear(h, w, now)
 	for tag, n := range w.Flows {
+		if _, listed := h.flows[tag]; !listed && h.tellsPart() {
+			l.Target(tag).partial++
+		}
 		h.flows[tag] = n
 		l.count(h, tag, now)
 	}
 }
 
-// retire marks what a host has told as what it held before it fell silent, or started
-// again. Of what it held before that, the rest counts on.
+// hear takes in that a host tells something.
+func (l *Limiter) hear(h *holder, w Word, now timekeeper.Instant) {
+	back := h.silent
+	l.countTeller(h, -1)
+	h.silent, h.partial, h.heard = false, w.Partial, now
+	l.countTeller(h, 1)
+	if !back {
+		return
+	}
+	for tag := range h.flows {
+		l.count(h, tag, now)
+	}
+}
+
+// countTeller adds a host to those that tell, or takes it out.
+func (l *Limiter) countTeller(h *holder, by int) {
+	switch {
+	case !h.near || h.silent:
+		return
+	case h.partial:
+		for tag := range h.flows {
+			l.Target(tag).partial += by
+		}
+	default:
+		l.whole += by
+	}
+	l.tellers += by
+}
+
+// tellsPart reports whether a host counts as one that tells only of the targets it has listed.
+func (h *holder) tellsPart() bool { return h.near && !h.silent && h.partial }
+
+// unlist forgets what a host has told of a target.
+func (l *Limiter) unlist(h *holder, tag uint32) {
+	if _, listed := h.flows[tag]; listed && h.tellsPart() {
+		l.Target(tag).partial--
+	}
+	delete(h.flows, tag)
+}
+
+// retire marks what a host has told as what it held before it started again. Of what it held
+// before that, the rest counts on.
 func (l *Limiter) retire(h *holder) {
 	if len(h.flows) == 0 {
 		return
 	}
+	l.countTeller(h, -1)
 	for tag, n := range h.former {
 		h.flows[tag] = max(h.flows[tag], uint16(l.left(int(n), h.formerSince, h.heard)))
 	}
 	h.former, h.formerSince = h.flows, h.heard
 	h.flows = map[uint32]uint16{}
+	l.countTeller(h, 1)
 }
 
 // count replaces what stands for a host at a target.
 func (l *Limiter) count(h *holder, tag uint32, now timekeeper.Instant) {
-	n := max(int(h.flows[tag]), l.left(int(h.former[tag]), h.formerSince, now))
+	told := int(h.flows[tag])
+	if h.silent {
+		told = l.left(told, h.heard, now)
+	}
+	n := max(told, l.left(int(h.former[tag]), h.formerSince, now))
 	l.Target(tag).told += n - h.counted[tag]
 	if n == 0 {
 		delete(h.counted, tag)
@@ -261,13 +342,20 @@
 
 // Sweep lets what was told grow old. It is called some times in a flow's idle time.
 func (l *Limiter) Sweep(now timekeeper.Instant) {
+	silence := l.silence()
 	for name, h := range l.holders {
-		if now.Since(h.heard) > l.idle {
+		if now.Since(h.heard) > max(l.idle, silence) {
 			l.drop(name, h)
 			continue
 		}
-		if h.near && now.Since(h.heard) > nearSilence {
-			l.retire(h)
+		if h.near && !h.silent && now.Since(h.heard) > silence {
+			l.countTeller(h, -1)
+			h.silent = true
+		}
+		if h.silent {
+			for tag := range h.flows {
+				l.count(h, tag, now)
+			}
 		}
 		if len(h.former) == 0 {
 			continue
@@ -286,14 +374,15 @@
 	for tag, n := range h.counted {
 		l.Target(tag).told -= n
 	}
+	l.countTeller(h, -1)
 	delete(l.holders, name)
-	l.tellers -= oneIf(h.near)
 }
 
 // Belief is what is known of a target.
 func (l *Limiter) Belief(t *Target, bound int, g Guess, now timekeeper.Instant) Belief {
 	b := Belief{Own: t.own, Told: t.told}
-	others := g.PerHost*float64(l.silent) + g.Growth*float64(l.tellers)
+	tellers := l.Tellers(t)
+	others := g.PerHost*float64(max(l.others()-tellers, 0)) + g.Growth*float64(tellers)
 	b.Estimated = l.forgotten(t, now) + int(others+0.5)
 	b.Estimated = max(b.Estimated, g.Least-b.Own-b.Told)
 	// No target holds more than its bound, so what has been told of since is unseen no more.
@@ -308,10 +397,11 @@
 // forgotten estimates how many flows this host's callers hold that it has not seen since it
 // started: as many as those of another host of the zone, fewer with time.
 func (l *Limiter) forgotten(t *Target, now timekeeper.Instant) int {
-	if l.tellers == 0 || t.told == 0 {
+	tellers := l.Tellers(t)
+	if tellers == 0 || t.told == 0 {
 		return 0
 	}
-	return max(l.left(t.told/l.tellers, l.start, now)-t.own, 0)
+	return max(l.left(t.told/tellers, l.start, now)-t.own, 0)
 }
 
 // Room is how many more flows this host may place at a target; 0 if none.
@@ -329,7 +419,7 @@
 // else knows of it.
 func (l *Limiter) Admits(t *Target, tag uint32, b Bound, g Guess, now timekeeper.Instant) bool {
 	room := l.Room(t, b, g, now)
-	hosts := l.tellers + l.silent + 1
+	hosts := l.others() + 1
 	switch {
 	case room == 0:
 		return false
@@ -358,6 +448,17 @@
 	t.unseen = max(bound-l.Belief(t, bound, g, now).Sum(), 0)
 }
 
+// Used lists those of some targets at which this host has placed flows.
+func (l *Limiter) Used(tags []uint32) []uint32 {
+	var used []uint32
+	for _, tag := range tags {
+		if t, ok := l.targets[tag]; ok && t.used {
+			used = append(used, tag)
+		}
+	}
+	return used
+}
+
 // Flows lists this host's flows at those of some targets at which it has placed any, for
 // what it tells. The numbers of flows that have ended since are listed as well.
 func (l *Limiter) Flows(tags []uint32) map[uint32]uint16 {
@@ -369,10 +470,3 @@
 	}
 	return flows
 }
-
-func oneIf(yes bool) int {
-	if yes {
-		return 1
-	}
-	return 0
-}
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -119,11 +119,11 @@
 	one.Placed(start)
 	one.Placed(start)
 	l.SetNear(4)
-	guess := limiter.Guess{PerHost: l.PerHost(20, 0, 10)}
+	guess := limiter.Guess{PerHost: l.PerHost(20, 0, 10, 0)}
 	require.Equal(t, limiter.Belief{Own: 2, Estimated: 8}, l.Belief(one, 40, guess, start.Add(idle)))
 	l.Take("a1", limiter.Word{Incarnation: 1, Near: true, Flows: map[uint32]uint16{1: 1}}, start.Add(idle))
 	l.SetNear(4)
-	guess.PerHost = l.PerHost(20, 15, 10)
+	guess.PerHost = l.PerHost(20, 15, 10, 10)
 	require.Equal(t, limiter.Belief{Own: 2, Told: 1, Estimated: 5}, l.Belief(one, 40, guess, start.Add(idle)))
 }
 
@@ -259,12 +259,13 @@
 }
 
 func (w *world) guess(l *limiter.Limiter) limiter.Guess {
-	own, told := 0, 0
+	own, told, tellers := 0, 0, 0
 	for _, tag := range w.tags() {
 		own += l.Target(tag).Own()
 		told += l.Target(tag).Told()
+		tellers += l.Tellers(l.Target(tag))
 	}
-	return limiter.Guess{PerHost: l.PerHost(own, told, w.targets), Growth: w.growth[l]}
+	return limiter.Guess{PerHost: l.PerHost(own, told, w.targets, tellers), Growth: w.growth[l]}
 }
 
 // end lets a flow end, after its host has seen it again if that has forgotten it.
@@ -404,3 +405,90 @@
 		require.Greater(t, len(w.flows), targets*bound*3/5)
 	})
 }
+
+// A host is not heard for five seconds (a cut, no restart); then it says that its flows
+// have ended. The limiter goes on to count them.
+func TestWordAfterASilenceCounts(t *testing.T) {
+	l := limiter.New("a0", start, idle)
+	l.SetNear(1)
+	l.Take("a1", limiter.Word{Incarnation: 1, Near: true, Flows: map[uint32]uint16{1: 30}}, start)
+	now := start.Add(5 * time.Second)
+	l.Sweep(now)
+	l.Take("a1", limiter.Word{Incarnation: 1, Near: true, Flows: map[uint32]uint16{1: 0}}, now)
+	require.Zero(t, l.Target(1).Told())
+}
+
+// A host ends; another takes its name's place. For idle time both count as hosts.
+func TestDeadHostsAreNoTellers(t *testing.T) {
+	l := limiter.New("a0", start, 10*time.Minute)
+	l.Take("a1", limiter.Word{Incarnation: 1, Near: true, Flows: map[uint32]uint16{1: 10}}, start)
+	now := start.Add(30 * time.Second)
+	l.Sweep(now)
+	l.SetNear(1) // a2 lives, and has told nothing; a1 has ended.
+	b := l.Belief(l.Target(2), 100, limiter.Guess{PerHost: 10}, now)
+	require.Equal(t, 10, b.Estimated, "a2 holds about as many as others")
+}
+
+// 1,200 targets of a zone, 100 hosts with two flows at each; each report has room for 120
+// targets. What a host has not told of yet counts as nothing, as soon as it has told of any.
+func TestPartialWordIsNoWordOfAllTargets(t *testing.T) {
+	l := limiter.New("a0", start, idle)
+	l.SetNear(99)
+	flows := map[uint32]uint16{}
+	for tag := range uint32(120) {
+		flows[tag+1] = 2
+	}
+	for n := range 99 {
+		l.Take(string(rune('A'+n)), limiter.Word{Incarnation: 1, Near: true, Flows: flows, Partial: true}, start)
+	}
+	l.SetNear(99)
+	told, tellers := l.Target(1).Told()*120, l.Tellers(l.Target(1))*120
+	require.Zero(t, l.Tellers(l.Target(600)))
+	b := l.Belief(l.Target(600), 400, limiter.Guess{PerHost: l.PerHost(0, told, 1200, tellers)}, start)
+	require.Greater(t, b.Sum(), 100, "some 200 are there")
+}
+
+// A host of 100 in a zone is heard each 8 s or so: 12 reports a second go to 99 hosts. Its
+// 30 flows stay; half of them are taken to have ended before it is heard again.
+func TestHostOfALargeZoneIsNotSilentBetweenItsReports(t *testing.T) {
+	l := limiter.New("a0", start, idle)
+	l.SetNear(99)
+	l.Take("a1", limiter.Word{Incarnation: 1, Near: true, Flows: map[uint32]uint16{1: 30}}, start)
+	now := start
+	for range 32 {
+		now = now.Add(250 * time.Millisecond)
+		l.Sweep(now)
+	}
+	require.Equal(t, 30, l.Target(1).Told())
+}
+
+// Over words of all and of some targets, silences, starts and ends: what counts for each
+// target is what its hosts tell.
+func TestTellersAreCountedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := limiter.New("a0", start, idle)
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "millis")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				l.Sweep(now)
+			case 1:
+				l.Forget(rapid.Uint32Range(1, 3).Draw(t, "forgotten"))
+			default:
+				word := limiter.Word{Incarnation: rapid.Uint64Range(1, 2).Draw(t, "incarnation"), Near: true, Partial: rapid.Bool().Draw(t, "partial")}
+				word.Flows = rapid.MapOf(rapid.Uint32Range(1, 3), rapid.Uint16Max(5)).Draw(t, "flows")
+				l.Take(rapid.SampledFrom([]string{"a1", "a2", "a3"}).Draw(t, "host"), word, now)
+			}
+			for tag := range uint32(4) {
+				require.GreaterOrEqual(t, l.Tellers(l.Target(tag)), 0)
+				require.LessOrEqual(t, l.Tellers(l.Target(tag)), 3)
+			}
+		}
+		l.Sweep(now.Add(2 * idle))
+		for tag := range uint32(4) {
+			require.Zero(t, l.Tellers(l.Target(tag)))
+			require.Zero(t, l.Target(tag).Told())
+		}
+	})
+}
--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -37,8 +37,6 @@
 	tight map[string]*tightService
 	// deadline is when it is next looked at which are.
 	deadline timekeeper.Instant
-	// turn is where the next report begins among the targets that it tells of.
-	turn int
 	// uses tells what each route's callers do with a service, by service and route.
 	uses map[string]map[string]*routeUse
 	// away is what other zones tell of the flows at their targets.
@@ -195,7 +193,7 @@
 // guessHome works out what stands for the flows at the own zone's targets of which nobody
 // tells.
 func (s *Steerer) guessHome(v, before *tightService) {
-	own, told, net, targets := 0, 0, 0, 0
+	own, told, net, targets, tellers := 0, 0, 0, 0, 0
 	for _, t := range s.targets.byService[v.name] {
 		if t.AvailabilityZone != s.config.AvailabilityZone || s.gone(t) {
 			continue
@@ -204,6 +202,7 @@
 		own += one.Own()
 		told += one.Told()
 		net += one.Net()
+		tellers += s.connections.limiter.Tellers(one)
 		targets++
 	}
 	if before != nil {
@@ -211,7 +210,7 @@
 	}
 	v.net = append(slices.Clone(v.net), net)
 	v.home = limiter.Guess{
-		PerHost: s.connections.limiter.PerHost(own, told, targets),
+		PerHost: s.connections.limiter.PerHost(own, told, targets, tellers),
 		Growth:  float64(max(net-v.net[0], 0)) / float64(max(targets, 1)),
 	}
 }
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -84,6 +84,8 @@
 	// lives is when it last reported, or a host mentioned that it had.
 	lives        timekeeper.Instant
 	nextDeadline timekeeper.Instant
+	// flowsTurn is where its next report begins among the targets of whose flows it is told.
+	flowsTurn int
 	// hash orders hosts whose links are equal.
 	hash uint64
 	busy map[uint32]uint16
--- a/core/steerer/telling.go
+++ b/core/steerer/telling.go
@@ -38,14 +38,17 @@
 			tags = append(tags, uint32(t.tag))
 		}
 	}
+	// Those without flows are left out first, and each receiver has turns of its own: else
+	// some targets come only to some hosts.
+	targets := tags
+	tags = s.connections.limiter.Used(targets)
 	if len(tags) > maxToldFlows {
-		c := &s.connections
-		c.turn = (c.turn + maxToldFlows) % len(tags)
-		tags = append(tags[c.turn:], tags[:c.turn]...)[:maxToldFlows]
+		to.flowsTurn = (to.flowsTurn + maxToldFlows) % len(tags)
+		tags = append(tags[to.flowsTurn:], tags[:to.flowsTurn]...)[:maxToldFlows]
 	}
 	flows := s.connections.limiter.Flows(tags)
-	if len(flows) == 0 && len(tags) > 0 {
-		flows[tags[0]] = 0 // A host that tells nothing is taken to hold what others do.
+	if len(flows) == 0 && len(targets) > 0 {
+		flows[targets[0]] = 0 // A host that tells nothing is taken to hold what others do.
 	}
 	return flows
 }
@@ -107,5 +110,5 @@
 	}
 	s.connections.heard = s.now
 	near := p.zone == s.config.AvailabilityZone
-	s.connections.limiter.Take(p.name, limiter.Word{Incarnation: r.Incarnation, Near: near, Flows: flows}, s.now)
+	s.connections.limiter.Take(p.name, limiter.Word{Incarnation: r.Incarnation, Near: near, Flows: flows, Partial: len(r.Flows) >= maxToldFlows}, s.now)
 }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -274,11 +274,15 @@
 without "speed that ends with a life" steerer/life.go 't.pace = estimator.Target{}' '' TestRestartedTargetIsNotSlow
 package=limiter
 without "what a host has forgotten since it started" limiter/limiter.go 'b.Estimated = l.forgotten(t, now) + int(others+0.5)' 'b.Estimated = int(others + 0.5)' TestHostThatHasStartedAgainCountsWhatItDoesNotRemember
-without "what a host told before it started again" limiter/limiter.go 'n := max(int(h.flows[tag]), l.left(int(h.former[tag]), h.formerSince, now))' 'n := int(h.flows[tag])' TestFlowsThatAHostHasForgottenCountOn
+without "what a host told before it started again" limiter/limiter.go 'n := max(told, l.left(int(h.former[tag]), h.formerSince, now))' 'n := told' TestFlowsThatAHostHasForgottenCountOn
 without "flows unseen at full targets" limiter/limiter.go 't.unseen = max(bound-' 't.unseen = 0 * max(bound-' 'TestTargetThatIsFoundFullStaysSoUntilItsFlowsEnd|TestHostsThatDoNotHearEachOtherStayWithinTheBound'
-without "growth since others were heard" limiter/limiter.go '+ g.Growth*float64(l.tellers)' '+ 0*g.Growth' TestHerdIsTurnedAwayInTime
+without "growth since others were heard" limiter/limiter.go '+ g.Growth*float64(tellers)' '+ 0*g.Growth' TestHerdIsTurnedAwayInTime
 without "turns at the last places" limiter/limiter.go 'return int(l.draw(tag, now)%uint64(hosts)) < room' 'return true || int(l.draw(tag, now)%uint64(hosts)) < room' TestBriefFlowsTakeNoTurns
-without "the end of hosts that are gone" limiter/limiter.go 'if now.Since(h.heard) > l.idle {' 'if false {' TestFlowsOfAHostThatIsGoneEnd
+without "the end of hosts that are gone" limiter/limiter.go 'if now.Since(h.heard) > max(l.idle, silence) {' 'if false {' TestFlowsOfAHostThatIsGoneEnd
+without "word after a silence" limiter/limiter.go 'h.silent, h.partial, h.heard = false, w.Partial, now' 'h.partial, h.heard = w.Partial, now' TestWordAfterASilenceCounts
+without "the silence of large zones" limiter/limiter.go 'turnsMissed*time.Duration(rounds)*NearEvery' '0*time.Duration(rounds)*NearEvery' TestHostOfALargeZoneIsNotSilentBetweenItsReports
+without "words of a part of the targets" limiter/limiter.go 'case h.partial:' 'case false:' TestPartialWordIsNoWordOfAllTargets
+without "hosts that tell no more" limiter/limiter.go 'h.silent = true' '_ = h' TestDeadHostsAreNoTellers
 
 package=steerer
 without "an even spread of connections" steerer/connections.go 'return connectionLoad * float64(flows)' 'return 0 * connectionLoad * float64(flows)' TestIdleTargetIsNotFilledWithFlows
@@ -293,6 +297,7 @@
 without "copies that go back unless a target was found full" steerer/crowding.go '!f.opened && f.target.foundFullOf(s.now)' '!f.opened' TestCopyGoesToTheFirstTargetThatLives
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
 without "word of full zones" steerer/reports.go 's.addZoneFlows(r)' '_ = r' TestZonesTellEachOtherHowFullTheyAre
+without "targets with flows first in a report" steerer/telling.go 's.connections.limiter.Used(targets)' 'targets' TestEachHostOfALargeZoneHearsOfAllTargets
 without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
 package=admitter
 without "repeats told from first tries" admitter/admitter.go 'asked.New[i] /= triesAt(a.inForce[i])' 'asked.New[i] /= 1 + 0*triesAt(a.inForce[i])' TestRepeatsOfRefusedCallersAreNoDemand
