Keep nothing of services without a bound of connections, and no old word of zones

Cause: what routes' callers do was kept for every service and swept for bounded ones only; word of other zones was kept for any name in a report, and for good.

--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -39,6 +40,8 @@
 	deadline timekeeper.Instant
 	// uses tells what each route's callers do with a service, by service and route.
 	uses map[string]map[string]*routeUse
+	// unbounded counts what nobody asks for.
+	unbounded routeUse
 	// away is what other zones tell of the flows at their targets.
 	away map[zoneService]zoneFlows
 	// heard is when another host last told of its flows.
@@ -136,6 +139,26 @@
 	for _, service := range s.settings.Services {
 		s.lookAtConnections(service)
 	}
+	s.sweepConnections()
+}
+
+// sweepConnections forgets services that are no longer published, and old word of other zones.
+func (s *Steerer) sweepConnections() {
+	c := &s.connections
+	for _, names := range [][]string{s.tightNames(), slices.Sorted(maps.Keys(c.uses))} {
+		for _, name := range names {
+			if s.settings.service(name).MaxConnections <= 0 {
+				s.forgetBound(name)
+			}
+		}
+	}
+	maps.DeleteFunc(c.away, func(_ zoneService, told zoneFlows) bool { return told.deadline.Passed(s.now) })
+}
+
+// forgetBound drops what is known of a service that has no bound any more.
+func (s *Steerer) forgetBound(service string) {
+	delete(s.connections.tight, service)
+	delete(s.connections.uses, service)
 }
 
 // nearHosts counts the other hosts of the own zone that live.
@@ -155,7 +178,7 @@
 func (s *Steerer) lookAtConnections(service Service) {
 	known := s.connections.tight[service.Name]
 	if service.MaxConnections <= 0 {
-		delete(s.connections.tight, service.Name)
+		s.forgetBound(service.Name)
 		return
 	}
 	v := tightService{name: service.Name, bound: service.MaxConnections}
--- a/core/steerer/places.go
+++ b/core/steerer/places.go
@@ -62,13 +62,18 @@
 	f.place.Ended(s.now)
 	f.place = nil
 	use := s.use(f.target.Service, &f.route)
-	use.held--
+	use.held = max(use.held-1, 0) // Flows are older than the bound, if it has just been set.
 	if f.opened && s.now.Since(f.openedAt) < briefSpan {
 		use.left++
 	}
 }
 
+// use is what a route's callers do with a service. Nothing is kept for services without a
+// bound: nobody asks, and routes come and go.
 func (s *Steerer) use(service string, route *Route) *routeUse {
+	if s.settings.service(service).MaxConnections <= 0 {
+		return &s.connections.unbounded
+	}
 	routes := s.connections.uses[service]
 	if routes == nil {
 		routes = map[string]*routeUse{}
--- a/core/steerer/telling.go
+++ b/core/steerer/telling.go
@@ -86,7 +86,8 @@
 		return
 	}
 	for _, d := range r.ZoneDemands {
-		if d.Flows > 0 {
+		known := slices.Contains(s.targets.zones, r.AvailabilityZone) && s.settings.service(d.Service).MaxConnections > 0
+		if d.Flows > 0 && known {
 			key := zoneService{r.AvailabilityZone, d.Service}
 			s.connections.away[key] = zoneFlows{mean: int(d.Flows), deadline: s.now.Add(zoneFlowsMemory)}
 		}
--- a/core/steerer/telling_internal_test.go
+++ b/core/steerer/telling_internal_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cranberryspan.dev/core/limiter"
+	"cranberryspan.dev/core/messenger"
 	"cranberryspan.dev/core/sequencer"
 	"cranberryspan.dev/core/timekeeper"
 	"github.com/stretchr/testify/require"
@@ -47,3 +48,52 @@
 		require.Len(t, heard, 300)
 	}
 }
+
+// Routes come and go at a service without a bound of connections.
+func TestUsesOfPastRoutesAreForgotten(t *testing.T) {
+	s := New(Config{Self: "a1", AvailabilityZone: "a", Start: timekeeper.Instant(time.Second)})
+	for n := range 2000 {
+		s.settings = NewSettings(uint64(n+1), nil, []Service{{Name: "ledger"}}, 15*time.Second)
+		s.use("ledger", &Route{Name: fmt.Sprintf("r%d", n)}).asked++
+		require.Empty(t, s.connections.uses["ledger"])
+		s.advance(s.now.Add(time.Second))
+		s.connectionsTick()
+	}
+}
+
+// Reports name services that nobody has published, of zones without targets.
+func TestWordOfUnknownServicesIsNotKept(t *testing.T) {
+	s := New(Config{Self: "a1", AvailabilityZone: "a", Start: timekeeper.Instant(time.Second)})
+	_, _ = s.targets.put(Target{ID: "i-1", Number: 1, Service: "ledger", AvailabilityZone: "b"}, sequencer.Position{})
+	s.settings = NewSettings(1, nil, []Service{{Name: "ledger", MaxConnections: 40}}, 15*time.Second)
+	for n := range 200 {
+		s.takeZoneFlows(&messenger.Report{AvailabilityZone: "b", ZoneDemands: []messenger.ServiceDemand{{Service: fmt.Sprint(n), Flows: 9}}})
+		s.takeZoneFlows(&messenger.Report{AvailabilityZone: fmt.Sprint(n), ZoneDemands: []messenger.ServiceDemand{{Service: "ledger", Flows: 9}}})
+	}
+	require.Empty(t, s.connections.away)
+	s.takeZoneFlows(&messenger.Report{AvailabilityZone: "b", ZoneDemands: []messenger.ServiceDemand{{Service: "ledger", Flows: 9}}})
+	require.Len(t, s.connections.away, 1)
+	s.advance(s.now.Add(2 * zoneFlowsMemory))
+	s.connectionsTick()
+	require.Empty(t, s.connections.away)
+}
+
+// Symptom: memory grows, and targets count as full. Sequence: the bound of a service is taken
+// back, and set again while flows of before are open. Cause: their ends count, their openings
+// did not.
+func TestBoundThatIsTakenBackLeavesNothing(t *testing.T) {
+	s := New(Config{Self: "a1", AvailabilityZone: "a", Start: timekeeper.Instant(time.Second)})
+	one, _ := s.targets.put(Target{ID: "i-1", Number: 1, Service: "ledger", AvailabilityZone: "a"}, sequencer.Position{})
+	bounded := NewSettings(1, nil, []Service{{Name: "ledger", MaxConnections: 40}}, 15*time.Second)
+	s.settings = bounded
+	f := &flow{target: one, route: Route{Name: "reads"}}
+	s.takePlace(f)
+	require.Equal(t, 1, s.use("ledger", &f.route).held)
+	s.settings = NewSettings(2, nil, nil, 15*time.Second)
+	s.advance(s.now.Add(time.Second))
+	s.connectionsTick()
+	require.Empty(t, s.connections.uses)
+	s.settings = bounded
+	s.releasePlace(f)
+	require.Zero(t, s.use("ledger", &f.route).held)
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -298,6 +298,9 @@
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
 without "word of full zones" steerer/reports.go 's.addZoneFlows(r)' '_ = r' TestZonesTellEachOtherHowFullTheyAre
 without "targets with flows first in a report" steerer/telling.go 's.connections.limiter.Used(targets)' 'targets' TestEachHostOfALargeZoneHearsOfAllTargets
+without "uses of bounded services alone" steerer/places.go 'if s.settings.service(service).MaxConnections <= 0 {' 'if false {' TestUsesOfPastRoutesAreForgotten
+without "the end of uses" steerer/connections.go 'delete(s.connections.uses, service)' '_ = service' TestBoundThatIsTakenBackLeavesNothing
+without "word of known services alone" steerer/telling.go 'if d.Flows > 0 && known {' '_ = known; if d.Flows > 0 {' TestWordOfUnknownServicesIsNotKept
 without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
 package=admitter
 without "repeats told from first tries" admitter/admitter.go 'asked.New[i] /= triesAt(a.inForce[i])' 'asked.New[i] /= 1 + 0*triesAt(a.inForce[i])' TestRepeatsOfRefusedCallersAreNoDemand
