--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -429,12 +429,23 @@
 // second, and each places one flow. A place that this host's own flow has left is its own for that time: nobody
 // else knows of it.
 func (l *Limiter) Admits(t *Target, tag uint32, b Bound, g Guess, now timekeeper.Instant) bool {
-	room := l.Room(t, b, g, now)
+	_, admits := l.Offer(t, tag, b, g, now)
+	return admits
+}
+
+// Offer is the flows at a target, and whether Admits lets in one more. A choice asks this of
+// each target.
+func (l *Limiter) Offer(t *Target, tag uint32, b Bound, g Guess, now timekeeper.Instant) (flows int, admits bool) {
+	flows = l.Belief(t, b.Flows, g, now).Sum()
+	return flows, l.admits(t, tag, max(b.Flows-b.Reserved-flows, 0), b.Brief, now)
+}
+
+func (l *Limiter) admits(t *Target, tag uint32, room int, brief bool, now timekeeper.Instant) bool {
 	hosts := l.others() + 1
 	switch {
 	case room == 0:
 		return false
-	case b.Brief, room >= hosts, t.freed > 0 && now.Since(t.freedAt) < turnSpan:
+	case brief, room >= hosts, t.freed > 0 && now.Since(t.freedAt) < turnSpan:
 		return true
 	case turnOf(t.placedAt) == turnOf(now):
 		return false
--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -42,6 +42,9 @@
 	uses map[string]map[string]*routeUse
 	// unbounded counts what nobody asks for.
 	unbounded routeUse
+	// unsent are openings to be sent on, sendsOn counts those looked at since the last tick.
+	unsent  []flowCheck
+	sendsOn int
 	// away is what other zones tell of the flows at their targets.
 	away map[zoneService]zoneFlows
 	// heard is when another host last told of its flows.
@@ -117,16 +120,18 @@
 		return 0, true
 	}
 	l, tag := s.connections.limiter, uint32(t.tag)
-	if !l.Admits(l.Target(tag), tag, c.bound, s.guess(t, c.service), s.now) {
+	flows, admits := l.Offer(l.Target(tag), tag, c.bound, s.guess(t, c.service), s.now)
+	if !admits {
 		return 0, false
 	}
-	flows := s.belief(t, c.service).Sum()
 	return connectionLoad * float64(flows) / float64(c.bound.Flows-flows), true
 }
 
 // connectionsTick looks at which services are short of connections.
 func (s *Steerer) connectionsTick() {
 	c := &s.connections
+	c.sendsOn = 0
+	s.sendOnWaiting()
 	if s.settings == nil || !c.deadline.Passed(s.now) {
 		return
 	}
--- a/core/steerer/connections_test.go
+++ b/core/steerer/connections_test.go
@@ -586,3 +586,38 @@
 	t.Log("held", s.held, "first", first, "copy", c.target)
 	require.Equal(t, first, c.target)
 }
+
+// Load: a target with 200 openings turns out to be full. Symptom: all other packets wait.
+// Cause: each of them is placed anew in one event.
+func TestOpeningsAreSentOnBitByBit(t *testing.T) {
+	s := newShop(t, 400, 1)
+	for range 860 {
+		require.True(t, s.arrive("a1", false))
+		if len(s.open)%20 == 0 {
+			s.step(steerer.TickEvery)
+		}
+	}
+	require.Equal(t, 1, s.logged("a1", "connectionsTight"))
+	var waiting []*caller
+	for n := range 600 {
+		c := s.caller(5000+n, readRoute)
+		c.open("a1", 0)
+		waiting = append(waiting, c)
+	}
+	for _, c := range waiting {
+		c.open("a1", 1) // So they may be sent on.
+	}
+	for id := range s.targets {
+		s.outcomes[id] = steerer.ProbeCut
+	}
+	before, most := s.logged("a1", "flowSentOn"), 0
+	for range 20 {
+		s.step(steerer.TickEvery)
+		s.keepAlive()
+		now := s.logged("a1", "flowSentOn")
+		before, most = now, max(most, now-before)
+	}
+	t.Log("sent on", before, "most in a tick", most)
+	require.Greater(t, before, 40)
+	require.LessOrEqual(t, most, 50, "those of the tick before and those of this one")
+}
--- a/core/steerer/crowding.go
+++ b/core/steerer/crowding.go
@@ -10,6 +10,10 @@
 // a caller gives up after 1.4 s, and each takes a round trip, a check and a tick or two.
 const maxSentOn = 8
 
+// maxSendsOn bounds the openings that are sent on between two ticks: some milliseconds' work
+// among thousands of targets.
+const maxSendsOn = 25
+
 // keepOpening keeps the opening packet of a flow whose target may be full, so that it can be
 // sent on.
 func (s *Steerer) keepOpening(f *flow, p *Packet) {
@@ -86,7 +90,32 @@
 	s.connections.limiter.Full(s.connections.limiter.Target(uint32(t.tag)), v.bound, s.guess(t, v), s.now)
 	s.logConnections("targetFull", t, v, s.belief(t, v), field("cause", "checkCut"), field("believed", itoa(before.Sum())), field("waiting", itoa(len(keys))))
 	for _, key := range never {
-		s.sendOn(key, s.flows[key])
+		if f := s.flows[key]; !f.unsent {
+			f.unsent = true
+			s.connections.unsent = append(s.connections.unsent, flowCheck{key: key, since: f.openedAt})
+		}
+	}
+	s.sendOnWaiting()
+}
+
+// sendOnWaiting sends on as many of the openings that wait for it as a tick allows.
+//
+// What goes wrong without a bound: a target with hundreds of openings turns out to be full,
+// a choice among thousands of targets is made for each, and all other packets wait behind.
+func (s *Steerer) sendOnWaiting() {
+	c := &s.connections
+	for len(c.unsent) > 0 && c.sendsOn < maxSendsOn {
+		check := c.unsent[0]
+		c.unsent = c.unsent[1:]
+		f := s.flows[check.key]
+		if f == nil {
+			continue
+		}
+		f.unsent = false
+		if !f.opened && f.request != nil && f.openedAt == check.since {
+			c.sendsOn++
+			s.sendOn(check.key, f)
+		}
 	}
 }
 
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -41,6 +41,8 @@
 	copied bool
 	// repeated says that the caller has repeated its opening packet at this host.
 	repeated bool
+	// unsent says that it waits for its turn to be sent on.
+	unsent bool
 	// sentOn counts the targets after the first to which this host has sent it.
 	sentOn uint8
 	// openedAt is when the first opening packet went out.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -299,6 +299,7 @@
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
 without "word of full zones" steerer/reports.go 's.addZoneFlows(r)' '_ = r' TestZonesTellEachOtherHowFullTheyAre
 without "targets with flows first in a report" steerer/telling.go 's.connections.limiter.Used(targets)' 'targets' TestEachHostOfALargeZoneHearsOfAllTargets
+without "openings sent on bit by bit" steerer/crowding.go 'c.sendsOn < maxSendsOn' 'true' TestOpeningsAreSentOnBitByBit
 without "flows that were found open" steerer/places.go 'f.placed = !f.opened' 'f.placed = true' TestPlacesAreTakenBackAsTheyWereTaken
 without "closed flows that take no place" steerer/steering.go 'if !f.closed {' 'if true {' TestPlacesAreTakenBackAsTheyWereTaken
 without "trials where there is room" steerer/estimating.go 's.connectionLoad(t, crowd); !room {' 's.connectionLoad(t, crowd); false && !room {' TestTrialsGoToTargetsWithRoom
