--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -31,9 +31,9 @@
 )
 
 const (
-	// NearEvery is the time between two rounds in which a host tells hosts of its zone, and
-	// NearFanout how many of them it tells in a round where there are many.
-	NearEvery  = 250 * time.Millisecond
+	// NearEvery is the time between two rounds in which a host tells hosts of its zone.
+	NearEvery = 250 * time.Millisecond
+	// NearFanout is how many of them it tells in a round where there are many.
 	NearFanout = 3
 	// leastSilence is after how long a host of the own zone that tells nothing is taken to
 	// have ended, where all are told in each round: some of its reports in a row would have
@@ -122,7 +122,7 @@
 	// silent says that nothing was heard of it for too long; its flows end bit by bit.
 	silent bool
 	heard  timekeeper.Instant
-	flows       map[uint32]uint16
+	flows  map[uint32]uint16
 	// former is what the host held before it started again, at formerSince. Its flows are
 	// still at the targets, but the host knows of them only once they send something.
 	former      map[uint32]uint16
--- a/core/steerer/crowding.go
+++ b/core/steerer/crowding.go
@@ -52,7 +52,7 @@
 // What goes wrong if only silence of the whole target counts: a full target answers those
 // that it holds, so it shows life, and the callers that it does not take wait for their
 // repeats. One notices by openings that take 200 ms at targets that work.
-func (s *Steerer) checkFull(key flowKey, f *flow) {
+func (s *Steerer) checkFull(f *flow) {
 	v := s.connections.tight[f.target.Service]
 	if v == nil || f.request == nil || !s.trusts() {
 		return
@@ -135,7 +135,12 @@
 	if f.sentOn == maxSentOn {
 		return
 	}
-	c := choice{route: f.route, service: f.target.Service, hash: key.hash(), avoid: f.target}
+	route, ok := s.settings.RouteAt(key.service)
+	if !ok || route.serviceFor(key.hash()) != f.target.Service {
+		return // Settings have changed; its caller's repeat goes by them.
+	}
+	f.route = route
+	c := choice{route: route, service: f.target.Service, hash: key.hash(), avoid: f.target}
 	to := s.choose(c)
 	if to == nil || to == f.target {
 		return // Its caller repeats itself, and is refused if there is still none.
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -169,7 +169,7 @@
 		if f.target.health.lastProgress <= check.since {
 			s.suspect(f.target, "openingSlow", check.since)
 		}
-		s.checkFull(check.key, f)
+		s.checkFull(f)
 	})
 	s.opening.eachDue(s.now, func(check flowCheck) {
 		f := s.flows[check.key]
--- a/core/steerer/telling_internal_test.go
+++ b/core/steerer/telling_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -168,3 +169,29 @@
 	}
 	require.True(t, tried())
 }
+
+// Sequence: a flow waits at a full target; its route is changed to a region, or removed; the
+// flow is sent on. Cause: it goes by the route of the time at which it was placed.
+func TestOpeningsAreSentOnByTheRouteOfToday(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:443")
+	regions := map[string]string{"a": "north", "b": "south"}
+	s := New(Config{Self: "a1", AvailabilityZone: "a", Regions: regions, Start: timekeeper.Instant(time.Second)})
+	first, _ := s.targets.put(Target{ID: "i-1", Number: 1, Service: "ledger", AvailabilityZone: "a", Slots: 4}, sequencer.Position{})
+	second, _ := s.targets.put(Target{ID: "i-2", Number: 2, Service: "ledger", AvailabilityZone: "b", Slots: 4}, sequencer.Position{})
+	services := []Service{{Name: "ledger", MaxConnections: 4}}
+	route := Route{Name: "reads", Address: address, Shares: []Share{{Service: "ledger"}}}
+	key := flowKey{netip.MustParseAddrPort("10.9.0.1:999"), address}
+	f := &flow{target: first, route: route, request: []byte{1}}
+	s.flows[key] = f
+	s.settings = NewSettings(1, nil, services, 15*time.Second)
+	s.sendOn(key, f)
+	require.Equal(t, first, f.target, "the route is removed")
+	route.Regions = []string{"north"}
+	s.settings = NewSettings(2, []Route{route}, services, 15*time.Second)
+	s.sendOn(key, f)
+	require.Equal(t, first, f.target, "the other target is outside the route's regions")
+	route.Regions = nil
+	s.settings = NewSettings(3, []Route{route}, services, 15*time.Second)
+	s.sendOn(key, f)
+	require.Equal(t, second, f.target)
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -291,7 +291,7 @@
 without "brief flows" steerer/places.go 'if v.brief[route.Name] {' 'if false {' TestBriefFlowsFindRoomBesideThoseThatLast
 without "places for higher priority" steerer/places.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
 without "places for checks" steerer/places.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
-without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
+without "opening packets that are sent on" steerer/flow.go 's.checkFull(f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
 without "checks of targets just found full" steerer/crowding.go 't.health.probeDeadline = s.now' '_ = s.now' TestTargetThatWasJustFoundFullIsNotWaitedFor
 without "memory of targets found full" steerer/crowding.go 'return f.repeated || f.target.foundFullOf(f.openedAt)' 'return f.repeated' TestTargetThatWasJustFoundFullIsNotWaitedFor
 without "openings left to full targets that may have taken them" steerer/crowding.go 'if f.neverTaken() {' 'if f.neverTaken() || true {' TestFlowThatOpenedThroughAnotherHostIsNotReset
@@ -299,6 +299,7 @@
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
 without "word of full zones" steerer/reports.go 's.addZoneFlows(r)' '_ = r' TestZonesTellEachOtherHowFullTheyAre
 without "targets with flows first in a report" steerer/telling.go 's.connections.limiter.Used(targets)' 'targets' TestEachHostOfALargeZoneHearsOfAllTargets
+without "openings sent on by the route of today" steerer/crowding.go 'if !ok || route.serviceFor' 'route = f.route; if false && !ok || false && route.serviceFor' TestOpeningsAreSentOnByTheRouteOfToday
 without "openings sent on bit by bit" steerer/crowding.go 'c.sendsOn < maxSendsOn' 'true' TestOpeningsAreSentOnBitByBit
 without "flows that were found open" steerer/places.go 'f.placed = !f.opened' 'f.placed = true' TestPlacesAreTakenBackAsTheyWereTaken
 without "closed flows that take no place" steerer/steering.go 'if !f.closed {' 'if true {' TestPlacesAreTakenBackAsTheyWereTaken
