--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -37,10 +38,13 @@
 	tight map[string]*tightService
 	// deadline is when it is next looked at which are.
 	deadline timekeeper.Instant
-	// turn is where the next report begins among the targets that it tells of.
-	turn int
 	// uses tells what each route's callers do with a service, by service and route.
 	uses map[string]map[string]*routeUse
+	// unbounded counts what nobody asks for.
+	unbounded routeUse
+	// unsent are openings to be sent on, sendsOn counts those looked at since the last tick.
+	unsent  []flowCheck
+	sendsOn int
 	// away is what other zones tell of the flows at their targets.
 	away map[zoneService]zoneFlows
 	// zoneTurn is where the next report begins among the services of which it tells zones.
@@ -118,16 +122,18 @@
 		return 0, true
 	}
 	l, tag := s.connections.limiter, uint32(t.tag)
-	if !l.Admits(l.Target(tag), tag, c.bound, s.guess(t, c.service), s.now) {
+	flows, admits := l.Offer(l.Target(tag), tag, c.bound, s.guess(t, c.service), s.now)
+	if !admits {
 		return 0, false
 	}
-	flows := s.belief(t, c.service).Sum()
 	return connectionLoad * float64(flows) / float64(c.bound.Flows-flows), true
 }
 
 // connectionsTick looks at which services are short of connections.
 func (s *Steerer) connectionsTick() {
 	c := &s.connections
+	c.sendsOn = 0
+	s.sendOnWaiting()
 	if s.settings == nil || !c.deadline.Passed(s.now) {
 		return
 	}
@@ -140,6 +146,26 @@
 	for _, service := range s.settings.Services {
 		s.lookAtConnections(service)
 	}
+	s.sweepConnections()
+}
+
+// sweepConnections forgets services that are no longer published, and old word of other zones.
+func (s *Steerer) sweepConnections() {
+	c := &s.connections
+	for _, names := range [][]string{s.tightNames(), slices.Sorted(maps.Keys(c.uses))} {
+		for _, name := range names {
+			if s.settings.service(name).MaxConnections <= 0 {
+				s.forgetBound(name)
+			}
+		}
+	}
+	maps.DeleteFunc(c.away, func(_ zoneService, told zoneFlows) bool { return told.deadline.Passed(s.now) })
+}
+
+// forgetBound drops what is known of a service that has no bound any more.
+func (s *Steerer) forgetBound(service string) {
+	delete(s.connections.tight, service)
+	delete(s.connections.uses, service)
 }
 
 // nearHosts counts the other hosts of the own zone that live.
@@ -159,7 +185,7 @@
 func (s *Steerer) lookAtConnections(service Service) {
 	known := s.connections.tight[service.Name]
 	if service.MaxConnections <= 0 {
-		delete(s.connections.tight, service.Name)
+		s.forgetBound(service.Name)
 		return
 	}
 	v := tightService{name: service.Name, bound: service.MaxConnections}
@@ -197,7 +223,7 @@
 // guessHome works out what stands for the flows at the own zone's targets of which nobody
 // tells.
 func (s *Steerer) guessHome(v, before *tightService) {
-	own, told, net, targets := 0, 0, 0, 0
+	own, told, net, targets, tellers := 0, 0, 0, 0, 0
 	for _, t := range s.targets.byService[v.name] {
 		if t.AvailabilityZone != s.config.AvailabilityZone || s.gone(t) {
 			continue
@@ -206,6 +232,7 @@
 		own += one.Own()
 		told += one.Told()
 		net += one.Net()
+		tellers += s.connections.limiter.Tellers(one)
 		targets++
 	}
 	if before != nil {
@@ -213,7 +240,7 @@
 	}
 	v.net = append(slices.Clone(v.net), net)
 	v.home = limiter.Guess{
-		PerHost: s.connections.limiter.PerHost(own, told, targets),
+		PerHost: s.connections.limiter.PerHost(own, told, targets, tellers),
 		Growth:  float64(max(net-v.net[0], 0)) / float64(max(targets, 1)),
 	}
 }
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -33,11 +33,16 @@
 	opened bool
 	// askedFor says that the flow's first request was counted when it opened.
 	askedFor bool
-	// copied says that copies of the opening packet came.
 	// place counts the flow among those that its target holds; nil if it is not.
 	place *limiter.Target
+	// placed says that this host took the place for it, rather than found it there.
+	placed bool
 	// copied says that copies of the opening packet came, or that this host sent it on.
 	copied bool
+	// repeated says that the caller has repeated its opening packet at this host.
+	repeated bool
+	// unsent says that it waits for its turn to be sent on.
+	unsent bool
 	// sentOn counts the targets after the first to which this host has sent it.
 	sentOn uint8
 	// openedAt is when the first opening packet went out.
@@ -164,7 +169,7 @@
 		if f.target.health.lastProgress <= check.since {
 			s.suspect(f.target, "openingSlow", check.since)
 		}
-		s.checkFull(check.key, f)
+		s.checkFull(f)
 	})
 	s.opening.eachDue(s.now, func(check flowCheck) {
 		f := s.flows[check.key]
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -98,6 +98,7 @@
 func (s *Steerer) noteCopy(f *flow, to *target) {
 	s.noteStall(f.target, "openingCopy", f.openedAt)
 	f.copied = true
+	f.repeated = true
 	f.lastPacket = s.now
 	if f.target != to {
 		s.move(f, to)
@@ -160,7 +161,9 @@
 	}
 	f.opened = true
 	f.request = nil
-	s.takePlace(f)
+	if !f.closed {
+		s.takePlace(f)
+	}
 	s.use(to.Service, &f.route).opened++
 	s.noteOpened(f)
 	s.noteOpeningTime(f)
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -289,11 +289,16 @@
 without "speed that ends with a life" steerer/life.go 't.pace = estimator.Target{}' '' TestRestartedTargetIsNotSlow
 package=limiter
 without "what a host has forgotten since it started" limiter/limiter.go 'b.Estimated = l.forgotten(t, now) + int(others+0.5)' 'b.Estimated = int(others + 0.5)' TestHostThatHasStartedAgainCountsWhatItDoesNotRemember
-without "what a host told before it started again" limiter/limiter.go 'n := max(int(h.flows[tag]), l.left(int(h.former[tag]), h.formerSince, now))' 'n := int(h.flows[tag])' TestFlowsThatAHostHasForgottenCountOn
+without "what a host told before it started again" limiter/limiter.go 'n := max(told, l.left(int(h.former[tag]), h.formerSince, now))' 'n := told' TestFlowsThatAHostHasForgottenCountOn
 without "flows unseen at full targets" limiter/limiter.go 't.unseen = max(bound-' 't.unseen = 0 * max(bound-' 'TestTargetThatIsFoundFullStaysSoUntilItsFlowsEnd|TestHostsThatDoNotHearEachOtherStayWithinTheBound'
-without "growth since others were heard" limiter/limiter.go '+ g.Growth*float64(l.tellers)' '+ 0*g.Growth' TestHerdIsTurnedAwayInTime
+without "growth since others were heard" limiter/limiter.go '+ g.Growth*float64(tellers)' '+ 0*g.Growth' TestHerdIsTurnedAwayInTime
 without "turns at the last places" limiter/limiter.go 'return int(l.draw(tag, now)%uint64(hosts)) < room' 'return true || int(l.draw(tag, now)%uint64(hosts)) < room' TestBriefFlowsTakeNoTurns
-without "the end of hosts that are gone" limiter/limiter.go 'if now.Since(h.heard) > l.idle {' 'if false {' TestFlowsOfAHostThatIsGoneEnd
+without "flows that held no place" limiter/limiter.go 'func (t *Target) Withdrawn() {' 'func (t *Target) Withdrawn() { t.freed++; t.freedAt = t.placedAt' TestFlowsThatNeverOpenedLeaveNoPlace
+without "the end of hosts that are gone" limiter/limiter.go 'if now.Since(h.heard) > max(l.idle, silence) {' 'if false {' TestFlowsOfAHostThatIsGoneEnd
+without "word after a silence" limiter/limiter.go 'h.silent, h.partial, h.heard = false, w.Partial, now' 'h.partial, h.heard = w.Partial, now' TestWordAfterASilenceCounts
+without "the silence of large zones" limiter/limiter.go 'turnsMissed*time.Duration(rounds)*NearEvery' '0*time.Duration(rounds)*NearEvery' TestHostOfALargeZoneIsNotSilentBetweenItsReports
+without "words of a part of the targets" limiter/limiter.go 'case h.partial:' 'case false:' TestPartialWordIsNoWordOfAllTargets
+without "hosts that tell no more" limiter/limiter.go 'h.silent = true' '_ = h' TestDeadHostsAreNoTellers
 
 package=steerer
 without "an even spread of connections" steerer/connections.go 'return connectionLoad * float64(flows)' 'return 0 * connectionLoad * float64(flows)' TestIdleTargetIsNotFilledWithFlows
@@ -301,10 +306,23 @@
 without "brief flows" steerer/places.go 'if v.brief[route.Name] {' 'if false {' TestBriefFlowsFindRoomBesideThoseThatLast
 without "places for higher priority" steerer/places.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
 without "places for checks" steerer/places.go 'checkPlaces = 1' 'checkPlaces = 0' TestChecksFindRoomAtTargetsThatHostsHaveFilled
-without "opening packets that are sent on" steerer/flow.go 's.checkFull(check.key, f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
-without "memory of targets found full" steerer/crowding.go 'full := f.target.foundFullAt != 0' 'full := false && f.target.foundFullAt != 0' TestTargetThatWasJustFoundFullIsNotWaitedFor
+without "opening packets that are sent on" steerer/flow.go 's.checkFull(f)' '_ = f' TestFullTargetIsKnownToBeFullNotSilent
+without "checks of targets just found full" steerer/crowding.go 't.health.probeDeadline = s.now' '_ = s.now' TestTargetThatWasJustFoundFullIsNotWaitedFor
+without "memory of targets found full" steerer/crowding.go 'return f.repeated || f.target.foundFullOf(f.openedAt)' 'return f.repeated' TestTargetThatWasJustFoundFullIsNotWaitedFor
+without "openings left to full targets that may have taken them" steerer/crowding.go 'if f.neverTaken() {' 'if f.neverTaken() || true {' TestFlowThatOpenedThroughAnotherHostIsNotReset
+without "copies that go back unless a target was found full" steerer/crowding.go '!f.opened && f.target.foundFullOf(s.now)' '!f.opened' TestCopyGoesToTheFirstTargetThatLives
 without "the end of idle flows" steerer/flow.go 'if f.lastPacket.Add(keep).Passed(s.now) {' 'if f.closed && f.lastPacket.Add(keep).Passed(s.now) {' TestFlowsThatEndWithoutAWordAreForgotten
 without "word of full zones" steerer/reports.go 's.addZoneFlows(r)' '_ = r' TestZonesTellEachOtherHowFullTheyAre
+without "targets with flows first in a report" steerer/telling.go 's.connections.limiter.Used(targets)' 'targets' TestEachHostOfALargeZoneHearsOfAllTargets
+without "openings sent on by the route of today" steerer/crowding.go 'if !ok || route.serviceFor' 'route = f.route; if false && !ok || false && route.serviceFor' TestOpeningsAreSentOnByTheRouteOfToday
+without "openings sent on bit by bit" steerer/crowding.go 'c.sendsOn < maxSendsOn' 'true' TestOpeningsAreSentOnBitByBit
+without "flows that were found open" steerer/places.go 'f.placed = !f.opened' 'f.placed = true' TestPlacesAreTakenBackAsTheyWereTaken
+without "closed flows that take no place" steerer/steering.go 'if !f.closed {' 'if true {' TestPlacesAreTakenBackAsTheyWereTaken
+without "trials where there is room" steerer/estimating.go 's.connectionLoad(t, crowd); !room {' 's.connectionLoad(t, crowd); false && !room {' TestTrialsGoToTargetsWithRoom
+without "a place for checks at small bounds" steerer/places.go 'max(v.bound/mostReserved, checkPlaces), v.bound-1)' 'v.bound/mostReserved)' TestSmallBoundsKeepAPlaceForChecks
+without "uses of bounded services alone" steerer/places.go 'if s.settings.service(service).MaxConnections <= 0 {' 'if false {' TestUsesOfPastRoutesAreForgotten
+without "the end of uses" steerer/connections.go 'delete(s.connections.uses, service)' '_ = service' TestBoundThatIsTakenBackLeavesNothing
+without "word of known services alone" steerer/telling.go 'if d.Flows > 0 && known {' '_ = known; if d.Flows > 0 {' TestWordOfUnknownServicesIsNotKept
 without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
 package=admitter
 without "repeats told from first tries" admitter/admitter.go 'asked.New[i] /= triesAt(a.inForce[i])' 'asked.New[i] /= 1 + 0*triesAt(a.inForce[i])' TestRepeatsOfRefusedCallersAreNoDemand
