Speed counts from the end of a request, not from its first packet

Ruled out: no samples of uploads at all, since then a slow target of uploads is never noticed. Now samples, what is usual for them and what is overdue count from the caller's last new data; an upload is overdue only after a pause of a second.

TestSlowUploadersBlameNoTarget, two red pairs.

--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -6,9 +6,13 @@
 
 	"cranberryspan.dev/core/estimator"
 	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/timekeeper"
 )
 
 const (
+	// uploadPause is how long a caller on a slow link may pause between two packets of an
+	// upload, repeats of lost ones included, before its request may count as overdue.
+	uploadPause = time.Second
 	// overdueTimes times what is expected is how long a request waits before that says
 	// something of its target: by chance one in some twenty takes so long.
 	overdueTimes = 3
@@ -69,14 +73,27 @@
 }
 
 // expectAnswer notes when the answer to a request that begins is expected.
+//
+// All times count from the caller's last data packet. What goes wrong if they count from
+// its first: some callers upload over slow links, and their target counts as slow. One
+// notices by a target that is avoided though it answers as soon as it has the request.
 func (s *Steerer) expectAnswer(key flowKey, f *flow) {
-	f.expected, f.assumed = 0, 0
+	f.expected, f.assumed, f.lastData = 0, 0, s.now
 	u, ok := s.usual[f.route.Name]
 	if !ok || !u.known() {
 		return
 	}
-	f.expected = time.Duration(float64(u.median) * estimator.Wait(f.target.underWay(), f.target.Slots))
-	s.estimating.overdue = append(s.estimating.overdue, flowCheck{key: key, since: s.now, deadline: s.now.Add(overdueTimes * f.expected)})
+	f.expected = time.Duration(float64(u.sent.median) * estimator.Wait(f.target.underWay(), f.target.Slots))
+	s.estimating.overdue = append(s.estimating.overdue, flowCheck{key: key, since: s.now, deadline: f.overdueFrom()})
+}
+
+// overdueFrom is when a request has waited for long enough to say something of its target.
+func (f *flow) overdueFrom() timekeeper.Instant {
+	patience := overdueTimes * f.expected
+	if f.route.Kind == KindUpload {
+		patience = max(patience, uploadPause)
+	}
+	return f.lastData.Add(patience)
 }
 
 // checkOverdue learns from requests that wait for longer than expected.
@@ -92,8 +109,11 @@
 		if f == nil || !f.waiting || f.waitingSince != check.since {
 			continue
 		}
+		if from := f.overdueFrom(); !from.Passed(s.now) {
+			check.deadline = from // The caller has sent more.
+		}
 		if check.deadline.Passed(s.now) && s.trusts() {
-			waited := s.now.Since(f.waitingSince)
+			waited := s.now.Since(f.lastData)
 			s.learnSpeed(f, waited)
 			check.deadline = s.now.Add(waited)
 		}
@@ -228,7 +248,7 @@
 func (s *Steerer) noteAnswer(f *flow, took time.Duration) {
 	u, ok := s.usual[f.route.Name]
 	if !ok {
-		u = &usualTime{}
+		u = &usualTime{sent: &usualTime{}}
 		s.usual[f.route.Name] = u
 	}
 	pressed := s.pressed(f.target.Service)
@@ -239,10 +259,13 @@
 		s.log("answerTooQuick", field("target", f.target.ID), field("route", f.route.Name),
 			field("tookMillis", millis(took)), field("usualMillis", millis(u.median)))
 	}
+	worked := s.now.Since(f.lastData)
 	if !quick {
-		s.learnSpeed(f, took)
+		s.learnSpeed(f, worked)
 	}
-	u.add(took, pressed || s.answersSlowly(f.target))
+	doubtful := pressed || s.answersSlowly(f.target)
+	u.add(took, doubtful)
+	u.sent.add(worked, doubtful)
 }
 
 // answersSlowly reports whether a target's answers say little of what is usual.
--- a/core/steerer/estimating_test.go
+++ b/core/steerer/estimating_test.go
@@ -256,3 +256,61 @@
 	f.step(900 * time.Millisecond)
 	require.Greater(t, statusOf(f, "a1", failing).Slowness, 1.5)
 }
+
+// Symptom: a sound target gets no new flows of its service. Sequence: some callers upload
+// over slow links, by chance to the same target: each goes on sending for half a second, and
+// has its answer 50 ms after its last byte. Cause: the time in which the caller sends counts
+// as the target's.
+func TestSlowUploadersBlameNoTarget(t *testing.T) {
+	for _, pause := range []time.Duration{50 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) { uploadSlowly(t, pause) })
+	}
+}
+
+// uploadSlowly lets callers pause between the packets of their uploads to one target.
+func uploadSlowly(t *testing.T, pause time.Duration) {
+	f := newFleet(t, 1)
+	learnUsual(f, "a1")
+	upload := func(n int, last time.Duration) *caller {
+		c := f.caller(n, uploadRoute)
+		c.open("a1", 0)
+		c.establish("a1")
+		c.send("a1", 600)
+		f.step(last)
+		c.send("a1", 600)
+		f.step(50 * time.Millisecond)
+		c.thank("a1")
+		c.finish("a1")
+		return c
+	}
+	target := ""
+	for n := range 30 {
+		target = upload(33_000+n, 0).target
+	}
+	var all []*caller
+	for n := 0; len(all) < 6; n++ {
+		c := f.caller(34_000+n, uploadRoute)
+		c.open("a1", 0)
+		c.establish("a1")
+		if c.target == target {
+			all = append(all, c)
+		} else {
+			c.finish("a1")
+		}
+	}
+	for range 4 {
+		for _, c := range all {
+			c.send("a1", 600)
+		}
+		f.step(pause)
+		require.InDelta(t, 1, statusOf(f, "a1", target).Slowness, 0.01)
+	}
+	for _, c := range all {
+		c.send("a1", 600)
+	}
+	f.step(50 * time.Millisecond)
+	for _, c := range all {
+		c.thank("a1")
+	}
+	require.InDelta(t, 1, statusOf(f, "a1", target).Slowness, 0.01)
+}
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -33,21 +33,21 @@
 	opened bool
 	// askedFor says that the flow's first request was counted when it opened.
 	askedFor bool
-	// copied says that copies of the opening packet came.
-	// place counts the flow among those that its target holds; nil if it is not.
-	place *limiter.Target
 	// copied says that copies of the opening packet came, or that this host sent it on.
 	copied bool
 	// sentOn counts the targets after the first to which this host has sent it.
 	sentOn uint8
+	// waiting says that a request is under way since waitingSince.
+	waiting bool
+	closed  bool
+	// place counts the flow among those that its target holds; nil if it is not.
+	place *limiter.Target
 	// openedAt is when the first opening packet went out.
 	openedAt timekeeper.Instant
 	// sentEnd is the end of the data that the caller has sent, acknowledged the
 	// highest byte that the caller has acknowledged.
 	sentEnd      uint32
 	acknowledged uint32
-	// waiting says that a request is under way since waitingSince.
-	waiting      bool
 	waitingSince timekeeper.Instant
 	// request is the first packet of the request that waits, if it is kept; of a flow that
 	// has not opened it is the opening packet, if its target may be full.
@@ -57,7 +57,9 @@
 	paced    *pacedRequest
 	pacedFor time.Duration
 	underWay *service
-	// expected is how long the request under way should take, 0 if that is not known.
+	// lastData is when the last new data of the request under way was passed on.
+	lastData timekeeper.Instant
+	// expected is how long that request should take from its end, 0 if that is not known.
 	// assumed is the logarithm by which it took longer, as learned while it waited.
 	expected time.Duration
 	assumed  float64
@@ -66,7 +68,6 @@
 	lastPacket  timekeeper.Instant
 	// bulkSpan is the last of the path's spans in which the flow sent much.
 	bulkSpan timekeeper.Instant
-	closed   bool
 	// counted says that the flow counts for its caller, asked that it has brought a
 	// request.
 	counted bool
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -202,6 +202,7 @@
 		s.noteProgress(f.target)
 	}
 	if f.waiting {
+		f.lastData = s.now
 		return false
 	}
 	s.noteAsked(f)
--- a/core/steerer/usual.go
+++ b/core/steerer/usual.go
@@ -27,6 +27,9 @@
 type usualTime struct {
 	median  time.Duration
 	samples int
+	// sent estimates the same from the end of a request on, for a route's answers; nil for
+	// other times.
+	sent *usualTime
 }
 
 // known reports whether enough times have come to know what is usual.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -270,7 +270,7 @@
 without "trials that avoid silent targets" steerer/estimating.go 'case t.health.unreachable(), t.health.suspect, t.toldSilent(s.now), s.failsWork(t):' 'case false:' TestSilentTargetIsNotTried
 without "distrust of answers after a pause" steerer/estimating.go '!s.pause.trustDeadline.Passed(s.now) || s.cold(t)' 's.cold(t)' TestFrozenHostBlamesNoTarget
 without "pressure that leaves out slow targets" steerer/load.go '|| s.answersSlowly(f.target) {' '{' TestSlowTargetsDoNotPressTheirService
-without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target))' 'pressed)' TestUsualDoesNotFollowSlowTargets
+without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target)' 'pressed' TestUsualDoesNotFollowSlowTargets
 without "speed that ends with a life" steerer/life.go 't.pace = estimator.Target{}' '' TestRestartedTargetIsNotSlow
 package=limiter
 without "what a host has forgotten since it started" limiter/limiter.go 'b.Estimated = l.forgotten(t, now) + int(others+0.5)' 'b.Estimated = int(others + 0.5)' TestHostThatHasStartedAgainCountsWhatItDoesNotRemember
@@ -340,5 +340,9 @@
 without "demand of other zones" steerer/demands.go 'v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
 without "demand in reports" steerer/demands.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
 
+package=steerer
+without "times from the end of a request" steerer/steering.go 'f.lastData = s.now' '_ = f.lastData' TestSlowUploadersBlameNoTarget
+without "pauses of callers who upload" steerer/estimating.go 'if f.route.Kind == KindUpload {' 'if false {' TestSlowUploadersBlameNoTarget
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
