Callers' weights count calm times only, and all of them

Cause: weights were brought up to date only when a flow opened or ended. Now known callers are brought up to date where a shortage begins, and time counts from the beginning of calm times.

TestLongFlowsOfCalmTimesWeigh, TestNobodyGainsWeightInAShortage, two red pairs.

--- a/core/throttler/table.go
+++ b/core/throttler/table.go
@@ -76,17 +76,29 @@
 }
 
 // end counts the end of a flow.
-func (t *table) end(prefix netip.Prefix, calm bool, now timekeeper.Instant) {
+func (t *table) end(prefix netip.Prefix, calmSince, now timekeeper.Instant) {
 	if c, ok := t.callers.Peek(prefix); ok && c.open > 0 {
-		c.count(-1, calm, now)
+		c.count(-1, calmSince, now)
+	}
+}
+
+// settle brings the weights of all known callers up to date.
+//
+// What goes wrong otherwise: many people behind one address open long flows in calm times,
+// nothing changes for a minute, and in the shortage they weigh as much as one caller.
+func (t *table) settle(calmSince, now timekeeper.Instant) {
+	for _, c := range t.callers.Values() {
+		if c.known {
+			c.count(0, calmSince, now)
+		}
 	}
 }
 
 // count changes how many flows are open. Those that were open until now count for the
-// weight, unless the service has been short of room.
-func (c *caller) count(by int, calm bool, now timekeeper.Instant) {
-	if calm {
-		kept := math.Exp(-float64(now.Since(c.changed)) / float64(weightSpan))
+// weight, but only for the time in which the service had room, which began at calmSince.
+func (c *caller) count(by int, calmSince, now timekeeper.Instant) {
+	if calmSince.Passed(now) {
+		kept := math.Exp(-float64(now.Since(max(c.changed, calmSince))) / float64(weightSpan))
 		c.known = true
 		c.weight = max(c.weight*kept+float64(c.open)*(1-kept), leastWeight)
 	}
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -107,6 +107,10 @@
 func (t *Throttler) Ask(r Request, now timekeeper.Instant) Verdict {
 	s := t.service(r.Service)
 	if r.Short {
+		if s.calm(now) {
+			s.addresses.settle(s.calmDeadline, now)
+			s.prefixes.settle(s.calmDeadline, now)
+		}
 		s.calmDeadline = now.Add(calmAfter)
 	}
 	c := s.claimant(r.Caller, now)
@@ -183,9 +187,9 @@
 	s := t.service(r.Service)
 	key, prefix := keysOf(r.Caller)
 	claimant := s.prefixes.at(prefix, now)
-	claimant.count(1, s.calm(now), now)
+	claimant.count(1, s.calmDeadline, now)
 	if own, ok := s.addresses.callers.Peek(key); ok {
-		own.count(1, s.calm(now), now)
+		own.count(1, s.calmDeadline, now)
 		claimant = own
 	}
 	claimant.passed.add(now)
@@ -196,8 +200,8 @@
 func (t *Throttler) End(r Request, now timekeeper.Instant) {
 	s := t.service(r.Service)
 	key, prefix := keysOf(r.Caller)
-	s.addresses.end(key, s.calm(now), now)
-	s.prefixes.end(prefix, s.calm(now), now)
+	s.addresses.end(key, s.calmDeadline, now)
+	s.prefixes.end(prefix, s.calmDeadline, now)
 }
 
 // Kept counts the addresses and prefixes that are kept, for operators.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -344,5 +344,9 @@
 without "times from the end of a request" steerer/steering.go 'f.lastData = s.now' '_ = f.lastData' TestSlowUploadersBlameNoTarget
 without "pauses of callers who upload" steerer/estimating.go 'if f.route.Kind == KindUpload {' 'if false {' TestSlowUploadersBlameNoTarget
 
+package=throttler
+without "long flows of calm times" throttler/throttler.go 's.addresses.settle(s.calmDeadline, now)' '_ = now' TestLongFlowsOfCalmTimesWeigh
+without "weights of calm times only" throttler/table.go 'max(c.changed, calmSince)' 'max(c.changed, 0*calmSince)' TestNobodyGainsWeightInAShortage
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
