The end of a flow counts at the service where its start did

Cause: the service was read from the flow's target, which may be another by then; its caller then weighed 49 times less or more than one that did the same, for good. The flow keeps the service.

TestEndIsCountedWhereTheFlowWas (seen through shares, no method for tests), a red pair.

--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -40,6 +40,8 @@
 	// waiting says that a request is under way since waitingSince.
 	waiting bool
 	closed  bool
+	// asked says that the flow has brought a request.
+	asked bool
 	// place counts the flow among those that its target holds; nil if it is not.
 	place *limiter.Target
 	// openedAt is when the first opening packet went out.
@@ -68,10 +70,8 @@
 	lastPacket  timekeeper.Instant
 	// bulkSpan is the last of the path's spans in which the flow sent much.
 	bulkSpan timekeeper.Instant
-	// counted says that the flow counts for its caller, asked that it has brought a
-	// request.
-	counted bool
-	asked   bool
+	// countedFor is the service at which the flow counts for its caller; nil if it does not.
+	countedFor *service
 }
 
 // flowCheck looks at a flow again at a deadline, because of something that began at a
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -44,18 +44,22 @@
 
 // notePassed counts a new flow for its caller.
 func (s *Steerer) notePassed(key flowKey, f *flow) {
-	f.counted = true
+	f.countedFor = s.service(f.target.Service)
 	s.throttler.Charge(key.caller.Addr(), f.route.Name, s.now)
-	s.throttler.Pass(throttler.Request{Caller: key.caller.Addr(), Service: f.target.Service}, s.now)
+	s.throttler.Pass(throttler.Request{Caller: key.caller.Addr(), Service: f.countedFor.name}, s.now)
 }
 
 // noteEnded takes the flow back, once.
+//
+// What goes wrong if the target's service counts: the flow, or its target, has gone to
+// another service meanwhile, and its caller weighs for good as much as with the flow open.
 func (s *Steerer) noteEnded(key flowKey, f *flow) {
-	if !f.counted {
+	if f.countedFor == nil {
 		return
 	}
-	f.counted = false
-	s.throttler.End(throttler.Request{Caller: key.caller.Addr(), Service: f.target.Service}, s.now)
+	ended := throttler.Request{Caller: key.caller.Addr(), Service: f.countedFor.name}
+	f.countedFor = nil
+	s.throttler.End(ended, s.now)
 }
 
 // chargeRequest counts a request of an open flow for its caller's quotas. The first was
--- /dev/null
+++ b/core/steerer/throttling_internal_test.go
@@ -0,0 +1,48 @@
+package steerer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/throttler"
+	"cranberryspan.dev/core/timekeeper"
+	"github.com/stretchr/testify/require"
+)
+
+// passedFlow is a flow to a service that has been passed on.
+func passedFlow(t *testing.T, s *Steerer, caller, service string) (flowKey, *flow) {
+	key := flowKey{caller: netip.MustParseAddrPort(caller)}
+	f := &flow{target: &target{Target: Target{Service: service}}}
+	require.True(t, s.remember(key, f))
+	s.throttler.Ask(throttler.Request{Caller: key.caller.Addr(), Service: service}, s.now)
+	s.notePassed(key, f)
+	return key, f
+}
+
+// shareOf is what a caller may have of a service that is short of room.
+func shareOf(s *Steerer, key flowKey, service string) float64 {
+	return s.throttler.Ask(throttler.Request{Caller: key.caller.Addr(), Service: service, Short: true}, s.now).FairShare
+}
+
+// Symptom: an address weighs for good as much as flows that ended long ago. Sequence: its
+// flow is passed on for a service; before it ends, its target serves another (the target came
+// back under its ID for that, or a copy went there after the route's weights changed). Cause:
+// the end is counted for the service that the flow's target has by then.
+func TestEndIsCountedWhereTheFlowWas(t *testing.T) {
+	s := New(Config{Self: "a1", AvailabilityZone: "a", MaxFlows: 100})
+	s.now = timekeeper.Instant(time.Second)
+	moved, f := passedFlow(t, s, "203.0.113.9:1000", "ledger")
+	s.move(f, &target{Target: Target{Service: "intake"}})
+	s.forget(moved, f)
+	stayed, f := passedFlow(t, s, "198.51.100.7:1000", "ledger")
+	s.forget(stayed, f)
+	s.now = s.now.Add(time.Minute)
+	key, f := passedFlow(t, s, "192.0.2.1:1000", "ledger")
+	s.forget(key, f)
+	for range 20 {
+		shareOf(s, key, "ledger")
+	}
+	s.now = s.now.Add(200 * time.Millisecond)
+	require.InEpsilon(t, shareOf(s, stayed, "ledger"), shareOf(s, moved, "ledger"), 0.01)
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -348,5 +348,10 @@
 without "long flows of calm times" throttler/throttler.go 's.addresses.settle(s.calmDeadline, now)' '_ = now' TestLongFlowsOfCalmTimesWeigh
 without "weights of calm times only" throttler/table.go 'max(c.changed, calmSince)' 'max(c.changed, 0*calmSince)' TestNobodyGainsWeightInAShortage
 
+package=steerer
+without "ends where flows began" steerer/throttling.go 'Service: f.countedFor.name}
+	f.countedFor' 'Service: f.target.Service}
+	f.countedFor' TestEndIsCountedWhereTheFlowWas
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
