Quotas count all requests, and are asked before shares

Causes: a request that waited at the host was never charged, so that a quota was no bound while a service was pressed (12 requests of 10 that may); and what a quota refused counted as demand that found no room, so that shares shrank (12 flows of a caller far below its share were refused). Charging goes before pacing, quotas before shares.

TestPacedRequestsCountForAQuota, TestWhatAQuotaRefusesIsNoShortage, a red pair each. The pair "shares only while room is short" went by refusals of a quota, which are no demand any more; TestSharesEndWithTheShortage stands for it now, and the old test stays.

--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -206,11 +206,11 @@
 		return false
 	}
 	s.noteAsked(f)
+	s.chargeRequest(p, f)
 	if s.pace(key, f, p) {
 		return true
 	}
 	f.pacedFor = 0
-	s.chargeRequest(p, f)
 	s.beginRequest(key, f, p.Data)
 	return false
 }
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -23,7 +23,15 @@
 // What goes wrong otherwise: one caller that repeats itself without pause takes the room
 // of all, since whoever asks most gets most. Nothing has run, so the caller is told at
 // once.
+//
+// Quotas come first: what they refuse is no demand for the service's room, or it would look
+// as if others were refused for want of room, and shares would shrink.
 func (s *Steerer) throttled(p *Packet, route *Route, service string) bool {
+	if quota, exceeded := s.throttler.Exceeded(p.Caller.Addr(), route.Name, s.now); exceeded {
+		s.counts.add(RefusedCallerQuota)
+		s.refuse(p, "callerQuota", field("quota", quota.String()), field("requestsPerSecond", perSecond(quota.PerSecond)))
+		return true
+	}
 	asked := throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}
 	if verdict := s.throttler.Ask(asked, s.now); verdict.Refused {
 		s.counts.add(RefusedCallerShare)
@@ -31,11 +39,6 @@
 			field("share", perSecond(verdict.Had)), field("fairShare", perSecond(verdict.FairShare)))
 		return true
 	}
-	if quota, exceeded := s.throttler.Exceeded(p.Caller.Addr(), route.Name, s.now); exceeded {
-		s.counts.add(RefusedCallerQuota)
-		s.refuse(p, "callerQuota", field("quota", quota.String()), field("requestsPerSecond", perSecond(quota.PerSecond)))
-		return true
-	}
 	return false
 }
 
@@ -62,8 +65,8 @@
 	s.throttler.End(ended, s.now)
 }
 
-// chargeRequest counts a request of an open flow for its caller's quotas. The first was
-// counted with the flow.
+// chargeRequest counts a request of an open flow for its caller's quotas, also if it has
+// to wait here. The first was counted with the flow.
 func (s *Steerer) chargeRequest(p *Packet, f *flow) {
 	if f.asked {
 		s.throttler.Charge(p.Caller.Addr(), f.route.Name, s.now)
--- a/core/steerer/throttling_test.go
+++ b/core/steerer/throttling_test.go
@@ -138,3 +138,102 @@
 	check.open("a1", 0)
 	require.NotEmpty(t, check.target, "the quota is of another route")
 }
+
+// Symptom: a quota is no bound while a service is pressed. Sequence: the requests of an open
+// flow wait at the host before they are passed on. Cause: only requests that are passed on
+// at once are charged.
+func TestPacedRequestsCountForAQuota(t *testing.T) {
+	f := newFleet(t, 1)
+	f.settings = settingsOf(2, objectiveRoutes())
+	f.quotas = []throttler.Quota{{Route: "read", PerSecond: 10}}
+	f.start("a1")
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	press(f, 21_000)
+	c := feed(f, 1)
+	passed := 0
+	for round := range 12 {
+		checks := fillWindow(f, 100+10*round)
+		c.ask("a1")
+		require.Equal(t, 1, paced(f))
+		for _, one := range checks {
+			one.thank("a1")
+			one.finish("a1")
+		}
+		require.Zero(t, paced(f))
+		c.thank("a1")
+		passed++
+	}
+	second := f.caller(2, readRoute)
+	second.open("a1", 0)
+	require.Empty(t, second.target, "%d requests passed on at once of 10 that may", passed)
+}
+
+// Symptom: a caller is refused for its share though room has been found for all. Sequence:
+// a quota of a route refuses most of its flows while the service is short of room. Cause:
+// what a quota refuses counts as demand that found no room.
+func TestWhatAQuotaRefusesIsNoShortage(t *testing.T) {
+	f := newFleet(t, 1)
+	f.settings = settingsOf(2, objectiveRoutes())
+	f.quotas = []throttler.Quota{{Prefix: netip.MustParsePrefix("203.0.113.0/24"), PerSecond: 1}}
+	f.start("a1")
+	f.step(2 * time.Second)
+	for n := range 60 {
+		answerAfter(f, "a1", 20_000+n, 100*time.Millisecond)
+	}
+	press(f, 21_000)
+	h := f.hosts["a1"]
+	require.Equal(t, 1, h.steerer.Snapshot().Pressed)
+	for n := range 200 {
+		f.runUntil(f.now.Add(10 * time.Millisecond))
+		f.now = f.now.Add(10 * time.Millisecond)
+		for port := range 3 {
+			portOf(f, "203.0.113.9", 1000+3*n+port, checkRoute).open("a1", 0)
+		}
+		if n%10 == 0 {
+			c := portOf(f, "198.51.100.7", 1000+n, checkRoute)
+			c.open("a1", 0)
+			c.finish("a1")
+		}
+	}
+	require.NotEmpty(t, refusals(h, "callerQuota"))
+	t.Log(refusals(h, "callerQuota"), refusals(h, "callerShare"))
+	require.Empty(t, refusals(h, "callerShare"))
+}
+
+// Symptom: a caller is refused for its share though its service has room again. Sequence:
+// one address repeats itself through a shortage; then answers are as quick as usual. Cause:
+// refusals of a moment ago taken for a shortage.
+func TestSharesEndWithTheShortage(t *testing.T) {
+	f, _, checks := waitingFeed(t)
+	h := f.hosts["a1"]
+	loop := func(from int) {
+		for n := range 100 {
+			f.runUntil(f.now.Add(10 * time.Millisecond))
+			f.now = f.now.Add(10 * time.Millisecond)
+			portOf(f, "203.0.113.9", from+n, checkRoute).open("a1", 0)
+			if n%5 == 0 {
+				portOf(f, "198.51.100.7", from+n, readRoute).open("a1", 0)
+				f.caller(20_000+n/5, checkRoute).open("a1", 0)
+			}
+		}
+	}
+	loop(1000)
+	require.NotEmpty(t, refusals(h, "callerShare"))
+	for _, c := range checks {
+		c.thank("a1")
+		c.finish("a1")
+	}
+	for n := range 200 {
+		if h.steerer.Snapshot().Pressed == 0 {
+			break
+		}
+		answerAfter(f, "a1", 22_000+n, 100*time.Millisecond)
+	}
+	require.Zero(t, h.steerer.Snapshot().Pressed)
+	h.logs = nil
+	loop(2000)
+	require.Empty(t, refusals(h, "callerShare"))
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -305,7 +305,7 @@
 without "demand in reports" steerer/admitting.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
 package=steerer
 without "callers' shares" steerer/steering.go 'if f == nil && s.throttled(p, &route, service) {' 'if false && s.throttled(p, &route, service) {' 'TestCallerThatRepeatsWithoutPauseIsRefusedFirst|TestQuotaHoldsOverTheHostsOfAZone'
-without "shares only while room is short" steerer/throttling.go 'Short: s.shortOfRoom(service)}' 'Short: true || s.shortOfRoom(service)}' TestRefusalsOfACalmServiceAreNoShortage
+without "shares only while room is short" steerer/throttling.go 'Short: s.shortOfRoom(service)}' 'Short: true || s.shortOfRoom(service)}' TestSharesEndWithTheShortage
 without "quotas over a zone" steerer/steerer.go '	s.shareQuotas()
 ' '' TestQuotaHoldsOverTheHostsOfAZone
 without "requests of open flows in quotas" steerer/steering.go 's.chargeRequest(p, f)' '_ = p' TestRequestsOfOpenFlowsCountForAQuota
@@ -352,6 +352,17 @@
 without "ends where flows began" steerer/throttling.go 'Service: f.countedFor.name}
 	f.countedFor' 'Service: f.target.Service}
 	f.countedFor' TestEndIsCountedWhereTheFlowWas
+without "requests that wait here in quotas" steerer/steering.go '	s.chargeRequest(p, f)
+	if s.pace(key, f, p) {
+		return true
+	}
+' '	if s.pace(key, f, p) {
+		return true
+	}
+	s.chargeRequest(p, f)
+' TestPacedRequestsCountForAQuota
+without "quotas before shares" steerer/throttling.go 's.counts.add(RefusedCallerQuota)' 's.counts.add(RefusedCallerQuota)
+		s.throttler.Ask(throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}, s.now)' TestWhatAQuotaRefusesIsNoShortage
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
