Nothing is tried while requests of its service wait at the host

Cause: a trial went to a slow target for whose siblings' speed the host judged what waits, and was refused as overload while quick targets were idle; its turn was spent. Ruled out: choosing again after a refusal, which would do the work twice for each flow in a crowd.

TestNothingIsTriedWhileRequestsWait, TestSlowTargetIsTried, a red pair each.

--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -200,8 +200,11 @@
 // What goes wrong without trials: a slow target gets no flows, so nobody learns that it has
 // recovered. And what goes wrong if it is merely forgotten to be slow: all hosts of the
 // zone do so in the same moment, and it gets a queue of callers before the first answer.
+//
+// Nothing is tried while requests of the service wait here: some may wait for the slow
+// target, and the new flow would be refused on their account though quick targets idle.
 func (s *Steerer) trial(c choice, views []zoneView) *target {
-	if c.avoid != nil || !s.estimating.trials.Next() {
+	if c.avoid != nil || s.service(c.service).paced > 0 || !s.estimating.trials.Next() {
 		return nil
 	}
 	var due *target
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -363,6 +363,8 @@
 ' TestPacedRequestsCountForAQuota
 without "quotas before shares" steerer/throttling.go 's.counts.add(RefusedCallerQuota)' 's.counts.add(RefusedCallerQuota)
 		s.throttler.Ask(throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}, s.now)' TestWhatAQuotaRefusesIsNoShortage
+without "no trials while requests wait" steerer/estimating.go 's.service(c.service).paced > 0' 'false' TestNothingIsTriedWhileRequestsWait
+without "trials of slow targets" steerer/estimating.go 'if c.avoid != nil || ' 'if true || c.avoid != nil || ' TestSlowTargetIsTried
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
