--- a/core/steerer/trials_test.go
+++ b/core/steerer/trials_test.go
@@ -86,3 +86,78 @@
 	require.Greater(t, waits, 64)
 	require.NotZero(t, trials(f, "a1"), "while nothing waits")
 }
+
+// notTried demands that a slow target gets no trial, under a condition that came after it
+// was found slow, and gets some without it. Trials go by chance, so there are some rounds.
+func notTried(t *testing.T, change func(f *fleet, flows []*caller)) {
+	t.Helper()
+	tried := func(change func(f *fleet, flows []*caller)) int {
+		f := newFleet(t, 1, 1)
+		f.regions = map[string]string{"a": "north", "b": "south"}
+		for _, name := range f.names {
+			f.kill(name)
+			f.start(name)
+		}
+		f.step(2 * time.Second)
+		learnUsual(f, "a1")
+		flows := flowsAt(f, "a1", failing, 2000, 3)
+		for round := range 3 {
+			askAll(f, "a1", flows, 500*time.Millisecond)
+			for n := range 6 {
+				answerAfter(f, "a1", 50_000+10*round+n, 50*time.Millisecond)
+			}
+		}
+		change(f, flows)
+		f.step(1200 * time.Millisecond)
+		reached := 0
+		for n := range 64 {
+			c := f.caller(60_000+n, checkRoute)
+			before := trials(f, "a1")
+			c.open("a1", 0)
+			if trials(f, "a1") > before && c.target == failing {
+				reached++
+			}
+			f.runUntil(f.now.Add(10 * time.Millisecond))
+			f.now = f.now.Add(10 * time.Millisecond)
+			if c.target != "" {
+				c.establish("a1")
+				c.finish("a1")
+			}
+		}
+		return reached
+	}
+	require.NotZero(t, tried(func(*fleet, []*caller) {}), "a slow target against which nothing speaks")
+	require.Zero(t, tried(change))
+}
+
+// Symptom: a flow opens at a target that is about to end. Sequence: a slow target drains
+// and is due for a trial. Cause: trials that look at speed alone.
+func TestDrainingTargetIsNotTried(t *testing.T) {
+	notTried(t, func(f *fleet, _ []*caller) { f.drain(failing) })
+}
+
+// Symptom: flows go to a zone that is being emptied. Sequence: the zone of a slow target is
+// evacuated. Cause: as above.
+func TestTargetOfAnEvacuatedZoneIsNotTried(t *testing.T) {
+	notTried(t, func(f *fleet, _ []*caller) { f.evacuate(f.zoneOf(failing)) })
+}
+
+// Symptom: data leaves its region. Sequence: a route may run in another region only; a
+// target near by is slow. Cause: as above.
+func TestTargetOfAnotherRegionIsNotTried(t *testing.T) {
+	notTried(t, func(f *fleet, _ []*caller) {
+		all := routes()
+		all[1].Regions = []string{"south"}
+		f.settings = settingsOf(9, all)
+	})
+}
+
+// Symptom: callers queue at a target that is slow. Sequence: all of its slots have requests
+// under way. Cause: as above.
+func TestBusyTargetIsNotTried(t *testing.T) {
+	notTried(t, func(f *fleet, flows []*caller) {
+		for _, c := range flows {
+			c.ask("a1")
+		}
+	})
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -365,6 +365,10 @@
 		s.throttler.Ask(throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}, s.now)' TestWhatAQuotaRefusesIsNoShortage
 without "no trials while requests wait" steerer/estimating.go 's.service(c.service).paced > 0' 'false' TestNothingIsTriedWhileRequestsWait
 without "trials of slow targets" steerer/estimating.go 'if c.avoid != nil || ' 'if true || c.avoid != nil || ' TestSlowTargetIsTried
+without "trials that obey orders and regions" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestDrainingTargetIsNotTried
+without "trials in regions" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestTargetOfAnotherRegionIsNotTried
+without "trials in evacuated zones" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestTargetOfAnEvacuatedZoneIsNotTried
+without "trials of targets that are not busy" steerer/estimating.go 'return t.underWayPerSlot() < 1' 'return true' TestBusyTargetIsNotTried
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
