--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -33,10 +33,6 @@
 	opened bool
 	// askedFor says that the flow's first request was counted when it opened.
 	askedFor bool
-	// place counts the flow among those that its target holds; nil if it is not.
-	place *limiter.Target
-	// placed says that this host took the place for it, rather than found it there.
-	placed bool
 	// copied says that copies of the opening packet came, or that this host sent it on.
 	copied bool
 	// repeated says that the caller has repeated its opening packet at this host.
@@ -45,14 +41,21 @@
 	unsent bool
 	// sentOn counts the targets after the first to which this host has sent it.
 	sentOn uint8
+	// waiting says that a request is under way since waitingSince.
+	waiting bool
+	closed  bool
+	// asked says that the flow has brought a request.
+	asked bool
+	// placed says that this host took the place for it, rather than found it there.
+	placed bool
+	// place counts the flow among those that its target holds; nil if it is not.
+	place *limiter.Target
 	// openedAt is when the first opening packet went out.
 	openedAt timekeeper.Instant
 	// sentEnd is the end of the data that the caller has sent, acknowledged the
 	// highest byte that the caller has acknowledged.
 	sentEnd      uint32
 	acknowledged uint32
-	// waiting says that a request is under way since waitingSince.
-	waiting      bool
 	waitingSince timekeeper.Instant
 	// request is the first packet of the request that waits, if it is kept; of a flow that
 	// has not opened it is the opening packet, if its target may be full.
@@ -62,7 +65,9 @@
 	paced    *pacedRequest
 	pacedFor time.Duration
 	underWay *service
-	// expected is how long the request under way should take, 0 if that is not known.
+	// lastData is when the last new data of the request under way was passed on.
+	lastData timekeeper.Instant
+	// expected is how long that request should take from its end, 0 if that is not known.
 	// assumed is the logarithm by which it took longer, as learned while it waited.
 	expected time.Duration
 	assumed  float64
@@ -71,11 +76,8 @@
 	lastPacket  timekeeper.Instant
 	// bulkSpan is the last of the path's spans in which the flow sent much.
 	bulkSpan timekeeper.Instant
-	closed   bool
-	// counted says that the flow counts for its caller, asked that it has brought a
-	// request.
-	counted bool
-	asked   bool
+	// countedFor is the service at which the flow counts for its caller; nil if it does not.
+	countedFor *service
 }
 
 // flowCheck looks at a flow again at a deadline, because of something that began at a
--- a/core/steerer/steering.go
+++ b/core/steerer/steering.go
@@ -199,14 +199,15 @@
 		s.noteProgress(f.target)
 	}
 	if f.waiting {
+		f.lastData = s.now
 		return false
 	}
 	s.noteAsked(f)
+	s.chargeRequest(p, f)
 	if s.pace(key, f, p) {
 		return true
 	}
 	f.pacedFor = 0
-	s.chargeRequest(p, f)
 	s.beginRequest(key, f, p.Data)
 	return false
 }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -285,7 +285,7 @@
 without "trials that avoid silent targets" steerer/estimating.go 'case t.health.unreachable(), t.health.suspect, t.toldSilent(s.now), s.failsWork(t):' 'case false:' TestSilentTargetIsNotTried
 without "distrust of answers after a pause" steerer/estimating.go '!s.pause.trustDeadline.Passed(s.now) || s.cold(t)' 's.cold(t)' TestFrozenHostBlamesNoTarget
 without "pressure that leaves out slow targets" steerer/load.go '|| s.answersSlowly(f.target) {' '{' TestSlowTargetsDoNotPressTheirService
-without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target))' 'pressed)' TestUsualDoesNotFollowSlowTargets
+without "usual times that leave out slow targets" steerer/estimating.go 'pressed || s.answersSlowly(f.target)' 'pressed' TestUsualDoesNotFollowSlowTargets
 without "speed that ends with a life" steerer/life.go 't.pace = estimator.Target{}' '' TestRestartedTargetIsNotSlow
 package=limiter
 without "what a host has forgotten since it started" limiter/limiter.go 'b.Estimated = l.forgotten(t, now) + int(others+0.5)' 'b.Estimated = int(others + 0.5)' TestHostThatHasStartedAgainCountsWhatItDoesNotRemember
@@ -352,7 +352,7 @@
 without "first answers that count alike" steerer/usual.go 'doubtful && u.known()' 'doubtful' TestFirstAnswerInACrowdDoesNotStick
 package=steerer
 without "callers' shares" steerer/admitting.go 'if s.throttled(p, route, service) {' 'if false && s.throttled(p, route, service) {' 'TestCallerThatRepeatsWithoutPauseIsRefusedFirst|TestQuotaHoldsOverTheHostsOfAZone'
-without "shares only while room is short" steerer/throttling.go 'Short: s.shortOfRoom(service)}' 'Short: true || s.shortOfRoom(service)}' TestRefusalsOfACalmServiceAreNoShortage
+without "shares only while room is short" steerer/throttling.go 'Short: s.shortOfRoom(service)}' 'Short: true || s.shortOfRoom(service)}' TestSharesEndWithTheShortage
 without "quotas over a zone" steerer/steerer.go '	s.shareQuotas()
 ' '' TestQuotaHoldsOverTheHostsOfAZone
 without "requests of open flows in quotas" steerer/steering.go 's.chargeRequest(p, f)' '_ = p' TestRequestsOfOpenFlowsCountForAQuota
@@ -383,5 +383,35 @@
 without "a host's part of a quota" throttler/quota.go 'b.quota.PerSecond / float64(b.hosts)' 'b.quota.PerSecond' TestHostsOfAZoneShareAQuota
 without "quotas of a prefix" throttler/quota.go 'return !q.Prefix.IsValid() || q.Prefix.Contains(caller.Unmap())' 'return true' TestQuotasBoundThoseWhomTheyTouch
 
+package=steerer
+without "times from the end of a request" steerer/steering.go 'f.lastData = s.now' '_ = f.lastData' TestSlowUploadersBlameNoTarget
+without "pauses of callers who upload" steerer/estimating.go 'if f.route.Kind == KindUpload {' 'if false {' TestSlowUploadersBlameNoTarget
+
+package=throttler
+without "long flows of calm times" throttler/throttler.go 's.addresses.settle(s.calmDeadline, now)' '_ = now' TestLongFlowsOfCalmTimesWeigh
+without "weights of calm times only" throttler/table.go 'max(c.changed, calmSince)' 'max(c.changed, 0*calmSince)' TestNobodyGainsWeightInAShortage
+
+package=steerer
+without "ends where flows began" steerer/throttling.go 'Service: f.countedFor.name}
+	f.countedFor' 'Service: f.target.Service}
+	f.countedFor' TestEndIsCountedWhereTheFlowWas
+without "requests that wait here in quotas" steerer/steering.go '	s.chargeRequest(p, f)
+	if s.pace(key, f, p) {
+		return true
+	}
+' '	if s.pace(key, f, p) {
+		return true
+	}
+	s.chargeRequest(p, f)
+' TestPacedRequestsCountForAQuota
+without "quotas before shares" steerer/throttling.go 's.counts.add(RefusedCallerQuota)' 's.counts.add(RefusedCallerQuota)
+		s.throttler.Ask(throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}, s.now)' TestWhatAQuotaRefusesIsNoShortage
+without "no trials while requests wait" steerer/estimating.go 's.service(c.service).paced > 0' 'false' TestNothingIsTriedWhileRequestsWait
+without "trials of slow targets" steerer/estimating.go 'if c.avoid != nil || ' 'if true || c.avoid != nil || ' TestSlowTargetIsTried
+without "trials that obey orders and regions" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestDrainingTargetIsNotTried
+without "trials in regions" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestTargetOfAnotherRegionIsNotTried
+without "trials in evacuated zones" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestTargetOfAnEvacuatedZoneIsNotTried
+without "trials of targets that are not busy" steerer/estimating.go 'return t.underWayPerSlot() < 1' 'return true' TestBusyTargetIsNotTried
+
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
