What is known of zones ends; trials by service; a round tells of the same targets

Causes: zones of services that are gone were kept for good; one counter of trials for all services let one have all or none; paces moved on with each report, so that each recipient could hear of the same part for ever.

TestZonesOfOldServicesAreForgotten, TestServicesCountTheirTrialsApart, TestReportsOfARoundTellOfTheSameTargets, three red pairs.

--- a/core/estimator/zone.go
+++ b/core/estimator/zone.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// zoneSamples is how many of a host's last answers tell how fast a zone is. A host that
-	// gets 45 a second sees a change within half of one; with fewer samples a zone of which
-	// half is slow would often look slow as a whole.
+	// zoneSamples is how many of a host's last answers tell how fast a zone is. With fewer a
+	// zone of which half is slow would often look slow as a whole; with more a change shows
+	// later.
 	zoneSamples = 24
 	// zoneMemory ends belief in a zone from which nothing comes.
 	zoneMemory = 2 * time.Second
@@ -29,6 +29,7 @@
 	// excess and known are kept by Refresh.
 	excess float64
 	known  bool
+	idle   bool
 }
 
 type zoneSample struct {
@@ -67,6 +68,7 @@
 	}
 	z.excess = 0
 	z.known = count >= leastZoneSamples
+	z.idle = count == 0
 	if !z.known {
 		return
 	}
@@ -78,5 +80,8 @@
 // unless even its quick answers take longer than usual.
 func (z *Zone) Excess() float64 { return z.excess }
 
+// Idle reports whether nothing came of late, as of the last Refresh.
+func (z *Zone) Idle() bool { return z.idle }
+
 // Known reports whether enough answers came of late.
 func (z *Zone) Known() bool { return z.known }
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -76,7 +76,7 @@
 			evacuated:  evacuated && !outOfTouch,
 			lastResort: evacuated && outOfTouch,
 			doubted:    s.diagnoser.ZoneDoubted(zone, s.now),
-			slowness:   s.speedZone(c.service, zone).Excess(),
+			slowness:   s.zoneExcess(c.service, zone),
 		})
 	}
 	return s.zoneViews
--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"cranberryspan.dev/core/estimator"
@@ -40,9 +41,11 @@
 	zones map[serviceZone]*estimator.Zone
 	// active are the targets of which something is known, the longest known first.
 	active []*target
-	// turn is from where the next report tells of them.
-	turn   int
-	trials estimator.Trials
+	// turn is from where the reports of a round tell of them; the next round, after
+	// turnDeadline, tells of those from nextTurn on.
+	turn         int
+	nextTurn     int
+	turnDeadline timekeeper.Instant
 	// overdue are requests that may wait for longer than expected, in no order of their
 	// deadlines: those of routes with long requests must not hold up the others.
 	overdue []flowCheck
@@ -59,10 +62,19 @@
 	return z
 }
 
+// zoneExcess is the logarithm of the time that a service takes in a zone, as a multiple of
+// the usual; 0 if nothing is known.
+func (s *Steerer) zoneExcess(service, zone string) float64 {
+	if z, ok := s.estimating.zones[serviceZone{service, zone}]; ok {
+		return z.Excess()
+	}
+	return 0
+}
+
 // slowness is how much longer a target takes for a request than is usual: 1 is usual,
 // 2 twice as long.
 func (s *Steerer) slowness(t *target) float64 {
-	return estimator.Factor(s.speedZone(t.Service, t.AvailabilityZone).Excess() + t.pace.Slowness())
+	return estimator.Factor(s.zoneExcess(t.Service, t.AvailabilityZone) + t.pace.Slowness())
 }
 
 // slownessBesideSiblings is how much longer a target takes than the others of its zone,
@@ -167,9 +179,10 @@
 // estimatingTick lets what is known grow old.
 func (s *Steerer) estimatingTick() {
 	s.checkOverdue()
-	for _, z := range s.estimating.zones {
+	maps.DeleteFunc(s.estimating.zones, func(_ serviceZone, z *estimator.Zone) bool {
 		z.Refresh(s.now)
-	}
+		return z.Idle()
+	})
 	kept := s.estimating.active[:0]
 	for _, t := range s.estimating.active {
 		s.refreshSpeed(t, "age")
@@ -204,7 +217,7 @@
 // Nothing is tried while requests of the service wait here: some may wait for the slow
 // target, and the new flow would be refused on their account though quick targets idle.
 func (s *Steerer) trial(c choice, views []zoneView) *target {
-	if c.avoid != nil || s.service(c.service).paced > 0 || !s.estimating.trials.Next() {
+	if c.avoid != nil || s.service(c.service).paced > 0 || !s.service(c.service).trials.Next() {
 		return nil
 	}
 	var due *target
@@ -282,13 +295,13 @@
 // inSlowZone reports whether a target's zone is slower than another. Where all are late
 // the service is asked for too much, or its work became heavier.
 func (s *Steerer) inSlowZone(t *target) bool {
-	excess := s.speedZone(t.Service, t.AvailabilityZone).Excess()
+	excess := s.zoneExcess(t.Service, t.AvailabilityZone)
 	if excess <= slowZone || excess > verySlowZone {
 		return excess > verySlowZone
 	}
 	for _, name := range s.targets.zones {
-		other := s.speedZone(t.Service, name)
-		if other.Known() && other.Excess()+slowZone < excess {
+		other, ok := s.estimating.zones[serviceZone{t.Service, name}]
+		if ok && other.Known() && other.Excess()+slowZone < excess {
 			return true
 		}
 	}
@@ -324,10 +337,17 @@
 	}
 }
 
-// paces lists how fast the targets are that stand out, others each time if they are many.
+// paces lists how fast the targets are that stand out, others each round if they are many.
+//
+// What goes wrong if they change with each report: a round has as many reports as there are
+// parts of the list, and each recipient hears of the same part for ever.
 func (s *Steerer) paces() []messenger.TargetPace {
 	var paces []messenger.TargetPace
 	active := s.estimating.active
+	if s.estimating.turnDeadline.Passed(s.now) {
+		s.estimating.turn = s.estimating.nextTurn
+		s.estimating.turnDeadline = s.now.Add(reportEvery)
+	}
 	at := 0
 	for at < len(active) && len(paces) < maxPaces {
 		t := active[(s.estimating.turn+at)%len(active)]
@@ -337,7 +357,7 @@
 		}
 	}
 	if len(active) > 0 {
-		s.estimating.turn = (s.estimating.turn + at) % len(active)
+		s.estimating.nextTurn = (s.estimating.turn + at) % len(active)
 	}
 	return paces
 }
--- /dev/null
+++ b/core/steerer/estimating_internal_test.go
@@ -0,0 +1,75 @@
+package steerer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/messenger"
+	"cranberryspan.dev/core/timekeeper"
+	"github.com/stretchr/testify/require"
+)
+
+// Symptom: a host's memory grows with each service that it has ever served. Sequence:
+// services come and go. Cause: what is known of a service's zones is never forgotten.
+func TestZonesOfOldServicesAreForgotten(t *testing.T) {
+	s := New(Config{Self: "a1", AvailabilityZone: "a", MaxFlows: 100})
+	s.now = timekeeper.Instant(time.Second)
+	for n := range 50 {
+		s.speedZone(fmt.Sprintf("service-%d", n), "a").Observe(1, s.now)
+	}
+	s.estimatingTick()
+	require.Len(t, s.estimating.zones, 50, "of late")
+	s.now = s.now.Add(time.Minute)
+	s.estimatingTick()
+	require.Empty(t, s.estimating.zones)
+}
+
+// Symptom: the flows of one service are the trials of all, or none are. Sequence: two
+// services whose flows alternate. Cause: one counter for all services.
+func TestServicesCountTheirTrialsApart(t *testing.T) {
+	s := New(Config{Self: "a1", AvailabilityZone: "a", MaxFlows: 100})
+	s.now = timekeeper.Instant(time.Second)
+	due := map[string]int{}
+	for range 64 {
+		for _, name := range []string{"intake", "ledger"} {
+			views := []zoneView{{slowness: 1}}
+			s.trial(choice{service: name}, views)
+			if views[0].slowness == 0 {
+				due[name]++
+			}
+		}
+	}
+	require.Equal(t, map[string]int{"intake": 4, "ledger": 4}, due)
+}
+
+// Symptom: some hosts never hear of a slow target. Sequence: more targets are slow than a
+// report has room for; a host sends as many reports in a round as there are parts. Cause:
+// each report begins with other targets, so that each recipient hears the same part always.
+func TestReportsOfARoundTellOfTheSameTargets(t *testing.T) {
+	s := New(Config{Self: "a1", AvailabilityZone: "a", MaxFlows: 100})
+	s.now = timekeeper.Instant(time.Second)
+	for n := range 2 * maxPaces {
+		one := &target{tag: Tag(n + 1)}
+		for range 8 {
+			one.pace.Observe(3, s.now)
+		}
+		one.pace.Refresh(s.now)
+		s.estimating.active = append(s.estimating.active, one)
+	}
+	first := tagsOf(s.paces())
+	require.Len(t, first, maxPaces)
+	require.Equal(t, first, tagsOf(s.paces()))
+	s.now = s.now.Add(reportEvery)
+	second := tagsOf(s.paces())
+	require.NotContains(t, second, first[0])
+	require.Equal(t, second, tagsOf(s.paces()))
+}
+
+func tagsOf(paces []messenger.TargetPace) []uint32 {
+	var tags []uint32
+	for _, p := range paces {
+		tags = append(tags, p.Tag)
+	}
+	return tags
+}
--- a/core/steerer/load.go
+++ b/core/steerer/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cranberryspan.dev/core/admitter"
+	"cranberryspan.dev/core/estimator"
 	"cranberryspan.dev/core/pacer"
 )
 
@@ -28,6 +29,7 @@
 	// wait.
 	underWay int
 	paced    int
+	trials   estimator.Trials
 	// lines are the targets at which requests wait, in the order in which the first
 	// of them came.
 	lines []*target
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -264,7 +264,7 @@
 
 package=steerer
 without "speed in placement" steerer/choosing.go 'slowness > 0 {' 'slowness > 1000 {' 'TestSlowTargetGetsFewFlows|TestSlowZoneSpillsOver'
-without "the speed of zones" steerer/choosing.go 's.speedZone(c.service, zone).Excess(),' '0,' TestSlowZoneSpillsOver
+without "the speed of zones" steerer/choosing.go 's.zoneExcess(c.service, zone),' '0,' TestSlowZoneSpillsOver
 without "word of slow targets" steerer/reports.go 's.takePaces(p, r.Paces)' '' TestSlowTargetsAreToldToTheZonesHosts
 without "requests that wait too long" steerer/estimating.go 's.learnSpeed(f, waited)' '_ = waited' TestHangingTargetIsSlowBeforeItAnswers
 without "trials that avoid silent targets" steerer/estimating.go 'case t.health.unreachable(), t.health.suspect, t.toldSilent(s.now), s.failsWork(t):' 'case false:' TestSilentTargetIsNotTried
@@ -369,6 +369,9 @@
 without "trials in regions" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestTargetOfAnotherRegionIsNotTried
 without "trials in evacuated zones" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestTargetOfAnEvacuatedZoneIsNotTried
 without "trials of targets that are not busy" steerer/estimating.go 'return t.underWayPerSlot() < 1' 'return true' TestBusyTargetIsNotTried
+without "an end to what is known of zones" steerer/estimating.go 'return z.Idle()' 'return false' TestZonesOfOldServicesAreForgotten
+without "one turn a round" steerer/estimating.go 'if s.estimating.turnDeadline.Passed(s.now) {' 'if true {' TestReportsOfARoundTellOfTheSameTargets
+without "trials by service" steerer/estimating.go 's.service(c.service).trials.Next()' 's.service("").trials.Next()' TestServicesCountTheirTrialsApart
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
