Live hosts of a zone are counted in one place; plainer names in throttler

A caller asks for much more than others instead of standing out; unknown callers instead of strangers.

--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -168,7 +168,7 @@
 	if t.pace.Slow() {
 		event = "targetSlow"
 		s.counts.add(TargetSlow)
-		t.pace.SetTrial(s.hostsInZone(), s.random.Float64(), s.now)
+		t.pace.SetTrial(1+s.peers.zones.live(s.config.AvailabilityZone, s.now, s.mentionSilence()), s.random.Float64(), s.now)
 	}
 	all, own := t.pace.Samples()
 	s.log(event, field("target", t.ID), field("service", t.Service), field("zone", t.AvailabilityZone),
@@ -196,17 +196,6 @@
 	s.estimating.active = kept
 }
 
-// hostsInZone counts the hosts of this one's zone that live, itself among them.
-func (s *Steerer) hostsInZone() int {
-	count := 1
-	for _, p := range s.peers.ordered() {
-		if p.zone == s.config.AvailabilityZone && !p.leaving && p.mentioned(s.now, s.mentionSilence()) {
-			count++
-		}
-	}
-	return count
-}
-
 // trial picks a slow target that a new flow should go to, so that one that is quick again
 // is found out; nil if none is due. It may also lift what is believed of slow zones.
 //
@@ -230,7 +219,7 @@
 		}
 	}
 	if due != nil {
-		due.pace.SetTrial(s.hostsInZone(), s.random.Float64(), s.now)
+		due.pace.SetTrial(1+s.peers.zones.live(s.config.AvailabilityZone, s.now, s.mentionSilence()), s.random.Float64(), s.now)
 		s.counts.add(TrialFlow)
 		return due
 	}
--- a/core/steerer/peerzones.go
+++ b/core/steerer/peerzones.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"strings"
+	"time"
+
+	"cranberryspan.dev/core/timekeeper"
 )
 
 // peerZones lists the other hosts by availability zone, those whose zone is known, in the
@@ -20,6 +23,18 @@
 // of lists the hosts of a zone.
 func (z *peerZones) of(zone string) []*peer { return z.byZone[zone] }
 
+// live counts the hosts of a zone that live as far as anybody says, if they are silent for
+// less than a time.
+func (z *peerZones) live(zone string, now timekeeper.Instant, silence time.Duration) int {
+	count := 0
+	for _, p := range z.of(zone) {
+		if p.mentioned(now, silence) {
+			count++
+		}
+	}
+	return count
+}
+
 // move puts a host into a zone; into none if that is empty.
 func (z *peerZones) move(p *peer, zone string) {
 	if p.zone == zone {
--- a/core/steerer/returning.go
+++ b/core/steerer/returning.go
@@ -27,12 +27,7 @@
 	if s.peers.expectedInZone == 0 || s.peers.zoneRuns || s.config.Start.Add(zonePatience).Passed(s.now) {
 		return false
 	}
-	living := 1
-	for _, p := range s.peers.zones.of(s.config.AvailabilityZone) {
-		if p.mentioned(s.now, shortMentionSilence) {
-			living++
-		}
-	}
+	living := 1 + s.peers.zones.live(s.config.AvailabilityZone, s.now, shortMentionSilence)
 	return 2*living < s.peers.expectedInZone
 }
 
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -80,12 +80,6 @@
 	if !s.throttler.HasQuotas() {
 		return
 	}
-	hosts := 1
-	silence := s.mentionSilence()
-	for _, p := range s.peers.zones.of(s.config.AvailabilityZone) {
-		if p.mentioned(s.now, silence) {
-			hosts++
-		}
-	}
-	s.throttler.ShareQuotas(hosts, s.now)
+	others := s.peers.zones.live(s.config.AvailabilityZone, s.now, s.mentionSilence())
+	s.throttler.ShareQuotas(1+others, s.now)
 }
--- a/core/throttler/table.go
+++ b/core/throttler/table.go
@@ -23,9 +23,9 @@
 	// leastShare is what each caller may have whatever its share, in new flows a second:
 	// a person who asks again and again.
 	leastShare = 2
-	// excess times what others ask for their weight is what stands out. Whoever asks two or
+	// muchMoreTimes times what others ask for their weight is much more. Whoever asks two or
 	// three times as often as usual, as all do in a crowd, does not.
-	excess = 3
+	muchMoreTimes = 3
 	// growth is by how much shares grow while hardly anybody else is refused: less than
 	// fewRefused of what is passed on. Without it, shares that have shrunk would never
 	// grow again.
@@ -108,9 +108,9 @@
 
 // balance is what the callers of a service ask for altogether, and how it is divided.
 type balance struct {
-	// total is of all callers, strangers of those of which nothing is known.
-	total     demand
-	strangers demand
+	// total is of all callers, unknown of those of which nothing is known.
+	total   demand
+	unknown demand
 	// level is the share of weight one, in new flows a second.
 	level float64
 	// unknownWeight and unknownLeast are the weight and the least share of a prefix of
@@ -152,12 +152,12 @@
 	return b.unknownWeight
 }
 
-// standsOut reports whether a caller asks for much more than the others do for their
+// asksForMuchMore reports whether a caller asks for much more than the others do for their
 // weight. Those of which nothing is known stand out together: one that changes its address
 // is a little of each of them.
-func (b *balance) standsOut(c *caller, now timekeeper.Instant) bool {
+func (b *balance) asksForMuchMore(c *caller, now timekeeper.Instant) bool {
 	own := demand{asked: c.asked.at(now), weight: b.weightOf(c)}
-	return b.total.without(own).exceededBy(own) || (!c.known && b.total.without(b.strangers).exceededBy(b.strangers))
+	return b.total.without(own).exceededBy(own) || (!c.known && b.total.without(b.unknown).exceededBy(b.unknown))
 }
 
 // demand is what callers ask for, in new flows a second, and their weight in open flows.
@@ -177,7 +177,7 @@
 
 // exceededBy reports whether some ask for much more than these, for their weight.
 func (d demand) exceededBy(some demand) bool {
-	return some.asked*d.weight > excess*d.asked*some.weight
+	return some.asked*d.weight > muchMoreTimes*d.asked*some.weight
 }
 
 // maxMinLevel returns the share of weight one if room is divided by max-min fairness;
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -143,7 +143,7 @@
 	}
 	weight := s.balance.weightOf(c)
 	verdict := Verdict{Prefix: c.prefix, Had: c.passed.at(now), FairShare: s.balance.level * weight}
-	verdict.Refused = verdict.Had >= max(verdict.FairShare, s.balance.leastOf(c)) && s.balance.standsOut(c, now)
+	verdict.Refused = verdict.Had >= max(verdict.FairShare, s.balance.leastOf(c)) && s.balance.asksForMuchMore(c, now)
 	if verdict.Refused {
 		s.throttled.add(now)
 	}
@@ -166,7 +166,7 @@
 			demands = append(demands, one)
 			b.total.add(one)
 			if !c.known {
-				b.strangers.add(one)
+				b.unknown.add(one)
 			}
 			room += c.passed.at(now)
 		}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -327,8 +327,8 @@
 without "weights that stay in a shortage" throttler/throttler.go 'return s.calmDeadline.Passed(now)' 'return true || s.calmDeadline.Passed(now)' TestAddressesThatChangeAnswerTogether
 without "prefixes of new addresses" throttler/throttler.go 'if own, ok := s.addresses.callers.Get(key); ok {' 'if own := s.addresses.at(key, now); own != nil {' 'TestAddressesThatChangeAnswerTogether|TestAddressesThatComeOnceDoNotDisplaceOthers'
 without "shares that grow again" throttler/throttler.go 'b.level *= growth' 'b.level *= 1' TestOneCallerThatRepeatsWithoutPauseLeavesRoomToTheOthers
-without "crowds that ask alike" throttler/table.go 'return some.asked*d.weight > excess*d.asked*some.weight' 'return true' TestCallersWhoComeFromElsewhereAreServedAlike
-without "strangers that stand out together" throttler/table.go '|| (!c.known &&' '|| (false && !c.known &&' TestAddressesThatComeOnceDoNotDisplaceOthers
+without "crowds that ask alike" throttler/table.go 'return some.asked*d.weight > muchMoreTimes*d.asked*some.weight' 'return true' TestCallersWhoComeFromElsewhereAreServedAlike
+without "unknown callers that ask for much more together" throttler/table.go '|| (!c.known &&' '|| (false && !c.known &&' TestAddressesThatComeOnceDoNotDisplaceOthers
 without "the weight of those who come from elsewhere" throttler/table.go 'b.unknownWeight = max(sum/most, leastWeight)' 'b.unknownWeight = leastWeight + 0*sum/most' TestCallersWhoComeFromElsewhereAreServedAlike
 without "room for all" throttler/throttler.go 'if refused < leastRefused {' 'if false && refused < leastRefused {' TestNobodyIsRefusedWhileAllAreServed
 without "bounded services" throttler/throttler.go 'maxServices = 64' 'maxServices = 640' TestMemoryIsBounded
