--- a/core/steerer/trials_test.go
+++ b/core/steerer/trials_test.go
@@ -155,7 +155,7 @@
 // Symptom: callers queue at a target that is slow. Sequence: all of its slots have requests
 // under way. Cause: as above.
 func TestBusyTargetIsNotTried(t *testing.T) {
-	notTried(t, func(f *fleet, flows []*caller) {
+	notTried(t, func(_ *fleet, flows []*caller) {
 		for _, c := range flows {
 			c.ask("a1")
 		}
--- a/core/throttler/table.go
+++ b/core/throttler/table.go
@@ -153,7 +153,7 @@
 }
 
 // asksForMuchMore reports whether a caller asks for much more than the others do for their
-// weight. Those of which nothing is known stand out together: one that changes its address
+// weight. Those of which nothing is known ask for too much together: one that changes its address
 // is a little of each of them.
 func (b *balance) asksForMuchMore(c *caller, now timekeeper.Instant) bool {
 	own := demand{asked: c.asked.at(now), weight: b.weightOf(c)}
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -135,7 +135,7 @@
 	return s.prefixes.at(prefix, now)
 }
 
-// judge says whether a caller has had more than its share, and stands out in asking for it.
+// judge says whether a caller has had more than its share, and asks for much more than others.
 func (s *service) judge(c *caller, now timekeeper.Instant) Verdict {
 	if s.balanceDeadline.Passed(now) {
 		s.balance = s.weigh(now)
