--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -78,7 +78,7 @@
 			evacuated:  evacuated && !lastResort,
 			lastResort: lastResort,
 			doubted:    s.diagnoser.ZoneDoubted(zone, s.now),
-			slowness:   s.speedZone(c.service, zone).Excess(),
+			slowness:   s.zoneExcess(c.service, zone),
 		})
 	}
 	return s.zoneViews
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -120,7 +120,7 @@
 without "the notice of refusals" steerer/flow.go 'if f.target.health.lastProgress <= check.since {
 			s.suspect(f.target, "openingSlow", check.since)
 		}
-		s.checkFull(check.key, f)
+		s.checkFull(f)
 	})
 	s.opening.eachDue(s.now, func(check flowCheck) {
 		f := s.flows[check.key]
@@ -279,7 +279,7 @@
 
 package=steerer
 without "speed in placement" steerer/choosing.go 'slowness > 0 {' 'slowness > 1000 {' 'TestSlowTargetGetsFewFlows|TestSlowZoneSpillsOver'
-without "the speed of zones" steerer/choosing.go 's.speedZone(c.service, zone).Excess(),' '0,' TestSlowZoneSpillsOver
+without "the speed of zones" steerer/choosing.go 's.zoneExcess(c.service, zone),' '0,' TestSlowZoneSpillsOver
 without "word of slow targets" steerer/reports.go 's.takePaces(p, r.Paces)' '' TestSlowTargetsAreToldToTheZonesHosts
 without "requests that wait too long" steerer/estimating.go 's.learnSpeed(f, waited)' '_ = waited' TestHangingTargetIsSlowBeforeItAnswers
 without "trials that avoid silent targets" steerer/estimating.go 'case t.health.unreachable(), t.health.suspect, t.toldSilent(s.now), s.failsWork(t):' 'case false:' TestSilentTargetIsNotTried
@@ -373,8 +373,8 @@
 without "weights that stay in a shortage" throttler/throttler.go 'return s.calmDeadline.Passed(now)' 'return true || s.calmDeadline.Passed(now)' TestAddressesThatChangeAnswerTogether
 without "prefixes of new addresses" throttler/throttler.go 'if own, ok := s.addresses.callers.Get(key); ok {' 'if own := s.addresses.at(key, now); own != nil {' 'TestAddressesThatChangeAnswerTogether|TestAddressesThatComeOnceDoNotDisplaceOthers'
 without "shares that grow again" throttler/throttler.go 'b.level *= growth' 'b.level *= 1' TestOneCallerThatRepeatsWithoutPauseLeavesRoomToTheOthers
-without "crowds that ask alike" throttler/table.go 'return some.asked*d.weight > excess*d.asked*some.weight' 'return true' TestCallersWhoComeFromElsewhereAreServedAlike
-without "strangers that stand out together" throttler/table.go '|| (!c.known &&' '|| (false && !c.known &&' TestAddressesThatComeOnceDoNotDisplaceOthers
+without "crowds that ask alike" throttler/table.go 'return some.asked*d.weight > muchMoreTimes*d.asked*some.weight' 'return true' TestCallersWhoComeFromElsewhereAreServedAlike
+without "unknown callers that ask for much more together" throttler/table.go '|| (!c.known &&' '|| (false && !c.known &&' TestAddressesThatComeOnceDoNotDisplaceOthers
 without "the weight of those who come from elsewhere" throttler/table.go 'b.unknownWeight = max(sum/most, leastWeight)' 'b.unknownWeight = leastWeight + 0*sum/most' TestCallersWhoComeFromElsewhereAreServedAlike
 without "room for all" throttler/throttler.go 'if refused < leastRefused {' 'if false && refused < leastRefused {' TestNobodyIsRefusedWhileAllAreServed
 without "bounded services" throttler/throttler.go 'maxServices = 64' 'maxServices = 640' TestMemoryIsBounded
@@ -412,6 +412,9 @@
 without "trials in regions" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestTargetOfAnotherRegionIsNotTried
 without "trials in evacuated zones" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestTargetOfAnEvacuatedZoneIsNotTried
 without "trials of targets that are not busy" steerer/estimating.go 'return t.underWayPerSlot() < 1' 'return true' TestBusyTargetIsNotTried
+without "an end to what is known of zones" steerer/estimating.go 'return z.Idle()' 'return false' TestZonesOfOldServicesAreForgotten
+without "one turn a round" steerer/estimating.go 'if s.estimating.turnDeadline.Passed(s.now) {' 'if true {' TestReportsOfARoundTellOfTheSameTargets
+without "trials by service" steerer/estimating.go 's.service(c.service).trials.Next()' 's.service("").trials.Next()' TestServicesCountTheirTrialsApart
 
 echo "$passed passed, $failed failed"
 test "$failed" -eq 0
