--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -127,7 +127,7 @@
 		if f == nil || f.opened || f.copied || f.lastPacket != f.openedAt {
 			return
 		}
-		s.noteStall(f.target, "openingRefused", f.openedAt)' '	s.checkFull(check.key, f)
+		s.noteStall(f.target, "openingRefused", f.openedAt)' '	s.checkFull(f)
 	})
 	s.opening.eachDue(s.now, func(check flowCheck) {
 		f := s.flows[check.key]
