--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -10,20 +10,22 @@
 // The answer: each host counts its own flows and tells the hosts of the target's
 // availability zone. A host adds up what it was told, and estimates what it was not told:
 // the fabric spreads callers evenly over the hosts of a zone, so one that says nothing
-// holds about as many as the others do. What hosts knew before they started again counts on until such
-// flows have ended or sent something. If a target turns out to be full all the same, the
-// difference counts as unseen flows, fewer with time.
+// holds about as many as the others do. What hosts told before they started again counts on
+// until such flows have ended or sent something. If a target turns out to be full all the
+// same, the difference counts as unseen flows, fewer with time.
 //
 // What was weighed: a fixed part of the bound for each host needs no messages, but leaves
-// places idle at hosts with few callers, and is wrong as soon as hosts come and go. Word
-// of each service alone, with an even spread as the guess for each target, misses targets
-// that have just started, and flows from other zones.
+// places idle at hosts with few callers, and is wrong as soon as hosts come and go. If hosts
+// told only how many flows they have at each service, and took these to be spread evenly
+// over its targets, they would miss targets that have just started, and flows from other
+// zones.
 //
 // The package knows no network and no clock.
 package limiter
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"cranberryspan.dev/core/timekeeper"
@@ -35,19 +37,18 @@
 	NearEvery = 250 * time.Millisecond
 	// NearFanout is how many of them it tells in a round where there are many.
 	NearFanout = 3
-	// leastSilence is after how long a host of the own zone that tells nothing is taken to
-	// have ended, where all are told in each round: some of its reports in a row would have
+	// minSilence is after how long a host of the own zone that tells nothing is taken to
+	// have ended, where all are told in each round: many of its reports in a row would have
 	// been lost. Its callers' flows come to other hosts as they send something.
-	leastSilence = 4 * time.Second
-	// turnsMissed times the rounds that it takes to tell all hosts of a zone is that time
-	// in a large one. A host that is first in one order may be last in the next.
+	minSilence = 4 * time.Second
+	// turnsMissed is the same for a large zone, in passes of the rounds over all its hosts:
+	// a host that is first in one pass may be last in the next.
 	turnsMissed = 2
+	// turnSpan is how long hosts that have their turn at the last places of a target keep
+	// it: as long as their news takes to the others.
+	turnSpan = time.Second
 )
 
-// turnSpan is how long hosts that have their turn at the last places of a target keep it:
-// as long as their news takes to the others.
-const turnSpan = time.Second
-
 // Bound is what a target holds, as one flow asks for it.
 type Bound struct {
 	// Flows is how many flows a target holds at once.
@@ -84,7 +85,7 @@
 // Sum is all flows at the target.
 func (b Belief) Sum() int { return b.Own + b.Told + b.Estimated }
 
-// Word is what another host tells.
+// Word is what another host tells of its flows.
 type Word struct {
 	// Incarnation differs between two starts of the host.
 	Incarnation uint64
@@ -106,11 +107,12 @@
 	idle    time.Duration
 	targets map[uint32]*Target
 	holders map[string]*holder
-	// living counts the other hosts of the own zone that live. tellers counts those of the
-	// zone that have told of their flows of late, whole those of them that have told of all.
-	living  int
+	// living counts the other hosts of the own zone that live.
+	living int
+	// tellers counts the other hosts of the own zone that have told of their flows of late.
 	tellers int
-	whole   int
+	// whole counts those of the tellers that have told of all their flows.
+	whole int
 }
 
 // holder is another host that has told what it holds.
@@ -122,18 +124,21 @@
 	// silent says that nothing was heard of it for too long; its flows end bit by bit.
 	silent bool
 	heard  timekeeper.Instant
-	flows  map[uint32]uint16
+	// flows is what the host has told last, by target.
+	flows map[uint32]uint16
 	// former is what the host held before it started again, at formerSince. Its flows are
 	// still at the targets, but the host knows of them only once they send something.
 	former      map[uint32]uint16
 	formerSince timekeeper.Instant
-	// counted is what stands for the host in the targets' told.
+	// counted is how many flows the host adds to Target.told, by target.
 	counted map[uint32]int
 }
 
 // Target is what one host knows of the flows at a target.
 type Target struct {
-	own  int
+	// own counts the open flows through this host.
+	own int
+	// told counts the flows that other hosts tell of.
 	told int
 	// partial counts the hosts of the own zone that have told of this target, of those that
 	// have not told of all.
@@ -155,7 +160,10 @@
 
 // New makes the Limiter of a host that started at a moment.
 func New(self string, start timekeeper.Instant, idle time.Duration) *Limiter {
-	return &Limiter{seed: xxhash.Sum64String(self), start: start, idle: idle, targets: map[uint32]*Target{}, holders: map[string]*holder{}}
+	return &Limiter{
+		seed: xxhash.Sum64String(self), start: start, idle: idle,
+		targets: map[uint32]*Target{}, holders: map[string]*holder{},
+	}
 }
 
 // Target returns the record of a target, which it makes if there is none.
@@ -187,7 +195,7 @@
 // silence is after how long a host of the own zone that tells nothing has ended.
 func (l *Limiter) silence() time.Duration {
 	rounds := (l.others() + NearFanout - 1) / NearFanout
-	return max(leastSilence, turnsMissed*time.Duration(rounds)*NearEvery)
+	return max(minSilence, turnsMissed*time.Duration(rounds)*NearEvery)
 }
 
 // others is how many other hosts the own zone has.
@@ -207,6 +215,9 @@
 	return float64(own) / float64(max(targets, 1))
 }
 
+// Own is how many open flows at a target go through this host.
+func (t *Target) Own() int { return t.own }
+
 // Net is how many more flows this host has placed at a target than have ended.
 func (t *Target) Net() int { return t.net }
 
@@ -246,9 +257,6 @@
 	t.net--
 }
 
-// Own is the number of flows through this host.
-func (t *Target) Own() int { return t.own }
-
 // Take takes in what another host tells.
 func (l *Limiter) Take(host string, w Word, now timekeeper.Instant) {
 	h, ok := l.holders[host]
@@ -319,7 +327,7 @@
 	}
 	l.countTeller(h, -1)
 	for tag, n := range h.former {
-		h.flows[tag] = max(h.flows[tag], uint16(l.left(int(n), h.formerSince, h.heard)))
+		h.flows[tag] = max(h.flows[tag], uint16(l.remaining(int(n), h.formerSince, h.heard)))
 	}
 	h.former, h.formerSince = h.flows, h.heard
 	h.flows = map[uint32]uint16{}
@@ -330,9 +338,9 @@
 func (l *Limiter) count(h *holder, tag uint32, now timekeeper.Instant) {
 	told := int(h.flows[tag])
 	if h.silent {
-		told = l.left(told, h.heard, now)
+		told = l.remaining(told, h.heard, now)
 	}
-	n := max(told, l.left(int(h.former[tag]), h.formerSince, now))
+	n := max(told, l.remaining(int(h.former[tag]), h.formerSince, now))
 	l.Target(tag).told += n - h.counted[tag]
 	if n == 0 {
 		delete(h.counted, tag)
@@ -341,17 +349,17 @@
 	h.counted[tag] = n
 }
 
-// left is how many of some flows are still there, if nothing was heard of them since a
-// moment: an even part of them ends in each moment until all have idled for too long.
-func (l *Limiter) left(flows int, since, now timekeeper.Instant) int {
-	remaining := l.idle - now.Since(since)
-	if flows == 0 || remaining <= 0 {
+// remaining is how many of some flows are still open, if nothing was heard of them since a
+// moment: they are taken to end at an even rate until the idle time is over.
+func (l *Limiter) remaining(flows int, since, now timekeeper.Instant) int {
+	span := l.idle - now.Since(since)
+	if flows == 0 || span <= 0 {
 		return 0
 	}
-	return int(float64(flows)*float64(remaining)/float64(l.idle) + 0.5)
+	return int(float64(flows)*float64(span)/float64(l.idle) + 0.5)
 }
 
-// Sweep lets what was told grow old. It is called some times in a flow's idle time.
+// Sweep lets what was told grow old. It has to be called several times within the idle time.
 func (l *Limiter) Sweep(now timekeeper.Instant) {
 	silence := l.silence()
 	for name, h := range l.holders {
@@ -389,7 +397,8 @@
 	delete(l.holders, name)
 }
 
-// Belief is what is known of a target.
+// Belief is what this host takes the flows at a target to be, if the target holds at most
+// bound of them.
 func (l *Limiter) Belief(t *Target, bound int, g Guess, now timekeeper.Instant) Belief {
 	b := Belief{Own: t.own, Told: t.told}
 	tellers := l.Tellers(t)
@@ -397,7 +406,7 @@
 	b.Estimated = l.forgotten(t, now) + int(others+0.5)
 	b.Estimated = max(b.Estimated, g.Least-b.Own-b.Told)
 	// No target holds more than its bound, so what has been told of since is unseen no more.
-	unseen := min(l.left(t.unseen, t.unseenSince, now), max(bound-b.Sum(), 0))
+	unseen := min(l.remaining(t.unseen, t.unseenSince, now), max(bound-b.Sum(), 0))
 	if unseen == 0 {
 		t.unseen = 0
 	}
@@ -412,7 +421,7 @@
 	if tellers == 0 || t.told == 0 {
 		return 0
 	}
-	return max(l.left(t.told/tellers, l.start, now)-t.own, 0)
+	return max(l.remaining(t.told/tellers, l.start, now)-t.own, 0)
 }
 
 // Room is how many more flows this host may place at a target; 0 if none.
@@ -426,20 +435,21 @@
 // second old, so all of a zone go for the last places, and most meet a full target. One
 // notices by openings that wait at targets believed to have one place left. So when there
 // are fewer places than hosts, as many hosts as places have their turn, others each
-// second, and each places one flow. A place that this host's own flow has left is its own for that time: nobody
-// else knows of it.
+// second, and each places one flow. A place that this host's own flow has left is its own
+// for that time: nobody else knows of it.
 func (l *Limiter) Admits(t *Target, tag uint32, b Bound, g Guess, now timekeeper.Instant) bool {
 	_, admits := l.Offer(t, tag, b, g, now)
 	return admits
 }
 
-// Offer is the flows at a target, and whether Admits lets in one more. A choice asks this of
-// each target.
+// Offer returns how many flows a target is believed to hold, and what Admits says of one
+// more. A choice asks this of each target.
 func (l *Limiter) Offer(t *Target, tag uint32, b Bound, g Guess, now timekeeper.Instant) (flows int, admits bool) {
 	flows = l.Belief(t, b.Flows, g, now).Sum()
 	return flows, l.admits(t, tag, max(b.Flows-b.Reserved-flows, 0), b.Brief, now)
 }
 
+// admits is Admits, given how many more flows there is room for.
 func (l *Limiter) admits(t *Target, tag uint32, room int, brief bool, now timekeeper.Instant) bool {
 	hosts := l.others() + 1
 	switch {
@@ -453,6 +463,7 @@
 	return int(l.draw(tag, now)%uint64(hosts)) < room
 }
 
+// turnOf numbers the turns.
 func turnOf(now timekeeper.Instant) uint64 { return uint64(now) / uint64(turnSpan) }
 
 // draw is a number that differs by host, target and turn.
@@ -464,7 +475,8 @@
 	return xxhash.Sum64(buffer[:])
 }
 
-// Full takes in that a target has turned out to be full.
+// Full takes in that a target has turned out to be full: what is missing from its bound
+// counts as flows that nobody tells of.
 func (l *Limiter) Full(t *Target, bound int, g Guess, now timekeeper.Instant) {
 	t.unseen, t.unseenSince = 0, now
 	t.unseen = max(bound-l.Belief(t, bound, g, now).Sum(), 0)
@@ -482,12 +494,12 @@
 }
 
 // Flows lists this host's flows at those of some targets at which it has placed any, for
-// what it tells. The numbers of flows that have ended since are listed as well.
+// what it tells. A target whose flows have all ended is listed with 0.
 func (l *Limiter) Flows(tags []uint32) map[uint32]uint16 {
 	flows := make(map[uint32]uint16, len(tags))
 	for _, tag := range tags {
 		if t, ok := l.targets[tag]; ok && t.used {
-			flows[tag] = uint16(min(t.own, 1<<16-1))
+			flows[tag] = uint16(min(t.own, math.MaxUint16))
 		}
 	}
 	return flows
--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -13,18 +13,17 @@
 	// tightShare is the part of what a service's targets hold beyond which its flows are
 	// counted: chance alone never fills a target whose siblings are two thirds empty.
 	tightShare = 1.0 / 3
-	// connectionsEvery is how often it is looked at how tight services are.
-	connectionsEvery = reportEvery
-	// calmShare is below which a service has plenty again.
+	// calmShare is the part below which a service has plenty again.
 	calmShare = 1.0 / 4
-	// growthLooks is over how many looks flows are taken to have grown unheard: half of the
-	// time that a host's news is old at the most.
+	// connectionsEvery is the time between two looks at which services are tight.
+	connectionsEvery = reportEvery
+	// growthLooks is over how many looks flows are taken to have grown without word of it
+	// from others: about half of the greatest age of a host's news.
 	growthLooks = 2
-	// connectionLoad times the flows over the places that are left is what a target's
-	// connections add to its load, in requests a slot: at half of its places a target is
-	// worth a tenth of a request more, at nine tenths a whole one, as much as another zone
-	// costs.
-	connectionLoad = 0.1
+	// connectionWeight times the flows over the places that are left is what a target's
+	// connections add to its load, in requests a slot: a tenth of a request when half of its
+	// places are taken, and at nine tenths a whole one, as much as another zone costs.
+	connectionWeight = 0.1
 	// maxOpening is how long a flow that does not open holds a place: callers give up after
 	// 1.4 s.
 	maxOpening = 1500 * time.Millisecond
@@ -36,14 +35,15 @@
 	limiter *limiter.Limiter
 	// tight holds the services whose flows are counted and spread evenly.
 	tight map[string]*tightService
-	// deadline is when it is next looked at which are.
+	// deadline is when it is next worked out which services are tight.
 	deadline timekeeper.Instant
 	// uses tells what each route's callers do with a service, by service and route.
 	uses map[string]map[string]*routeUse
-	// unbounded counts what nobody asks for.
+	// unbounded takes the counts of services without a bound, which nobody reads.
 	unbounded routeUse
-	// unsent are openings to be sent on, sendsOn counts those looked at since the last tick.
-	unsent  []flowCheck
+	// toSendOn are the openings to be sent on.
+	toSendOn []flowCheck
+	// sendsOn counts the openings that this host has tried to send on since the last tick.
 	sendsOn int
 	// away is what other zones tell of the flows at their targets.
 	away map[zoneService]zoneFlows
@@ -58,25 +58,32 @@
 	name string
 	// bound is how many flows each target holds.
 	bound int
-	// priorities are those of the routes whose flows last, the highest first, and brief
-	// the routes whose flows do not.
+	// priorities are those of the routes whose flows last, the highest first.
 	priorities []int
-	brief      map[string]bool
+	// brief holds the names of the routes whose flows do not last.
+	brief map[string]bool
 	// manyBrief says that a good part of the callers open brief flows.
 	manyBrief bool
-	// flows is how many are open as far as known, places how many there may be.
-	flows  int
+	// flows is how many are open as far as known.
+	flows int
+	// places is how many flows all targets hold together.
 	places int
-	// home stands for flows at this zone's targets of which nobody tells, homeMean is how
-	// many flows each of these has on average.
-	home     limiter.Guess
+	// home stands for flows at this zone's targets of which nobody tells.
+	home limiter.Guess
+	// homeMean is how many flows each of this zone's targets has on average.
 	homeMean int
-	// net is what this host had placed at the zone's targets at its last looks.
+	// net is the sum of limiter.Target.Net over this zone's targets at each of the last
+	// looks, the latest last.
 	net []int
 }
 
 func newConnections(self string, start timekeeper.Instant) connections {
-	return connections{limiter: limiter.New(self, start, defaultIdle), tight: map[string]*tightService{}, uses: map[string]map[string]*routeUse{}, away: map[zoneService]zoneFlows{}}
+	return connections{
+		limiter: limiter.New(self, start, defaultIdle),
+		tight:   map[string]*tightService{},
+		uses:    map[string]map[string]*routeUse{},
+		away:    map[zoneService]zoneFlows{},
+	}
 }
 
 // belief is what is known of the flows at a target of a tight service.
@@ -126,10 +133,11 @@
 	if !admits {
 		return 0, false
 	}
-	return connectionLoad * float64(flows) / float64(c.bound.Flows-flows), true
+	return connectionWeight * float64(flows) / float64(c.bound.Flows-flows), true
 }
 
-// connectionsTick looks at which services are short of connections.
+// connectionsTick works out which services are short of connections, and sends on openings
+// that wait for it.
 func (s *Steerer) connectionsTick() {
 	c := &s.connections
 	c.sendsOn = 0
@@ -190,7 +198,7 @@
 	}
 	v := tightService{name: service.Name, bound: service.MaxConnections}
 	s.guessHome(&v, known)
-	s.sortRoutes(&v)
+	s.classifyRoutes(&v)
 	own, homeFlows, homePlaces := 0, 0, 0
 	for _, t := range s.targets.byService[service.Name] {
 		if s.gone(t) {
@@ -221,7 +229,7 @@
 }
 
 // guessHome works out what stands for the flows at the own zone's targets of which nobody
-// tells.
+// tells. before is what was known of the service at the last look; nil if it was not tight.
 func (s *Steerer) guessHome(v, before *tightService) {
 	own, told, net, targets, tellers := 0, 0, 0, 0, 0
 	for _, t := range s.targets.byService[v.name] {
@@ -245,6 +253,7 @@
 	}
 }
 
+// setTight keeps whether a service is short of connections, and logs a change.
 func (s *Steerer) setTight(v *tightService, tight, was bool) {
 	if !tight {
 		delete(s.connections.tight, v.name)
@@ -260,7 +269,7 @@
 	}
 }
 
-// noteFullTargets logs which targets have become full, or have room again.
+// noteFullTargets keeps and logs which targets have become full, or have room again.
 func (s *Steerer) noteFullTargets(v *tightService) {
 	for _, t := range s.targets.byService[v.name] {
 		b := s.belief(t, v)
@@ -276,6 +285,7 @@
 	}
 }
 
+// logConnections logs an event of a target with what its flows are believed to be.
 func (s *Steerer) logConnections(event string, t *target, v *tightService, b limiter.Belief, inputs ...Field) {
 	fields := []Field{
 		field("service", v.name), field("own", itoa(b.Own)), field("told", itoa(b.Told)), field("estimated", itoa(b.Estimated)),
--- a/core/steerer/crowding.go
+++ b/core/steerer/crowding.go
@@ -14,8 +14,8 @@
 // among thousands of targets.
 const maxSendsOn = 25
 
-// keepOpening keeps the opening packet of a flow whose target may be full, so that it can be
-// sent on.
+// keepOpening keeps the opening packet of a flow whose service is short of connections, so
+// that it can be sent on.
 func (s *Steerer) keepOpening(f *flow, p *Packet) {
 	if s.connections.tight[f.target.Service] != nil {
 		f.request = slices.Clone(p.Data)
@@ -62,7 +62,7 @@
 
 // foundFull takes in that a target has cut a check short. If flows wait there to open, it is
 // full. It may have become so by what it has just taken, so only some are sent on; see
-// neverTaken. The next flow that waits there is checked at once.
+// neverTaken. For the next flow that waits there it may be checked again at once.
 func (s *Steerer) foundFull(t *target) {
 	v := s.connections.tight[t.Service]
 	if v == nil {
@@ -90,9 +90,9 @@
 	s.connections.limiter.Full(s.connections.limiter.Target(uint32(t.tag)), v.bound, s.guess(t, v), s.now)
 	s.logConnections("targetFull", t, v, s.belief(t, v), field("cause", "checkCut"), field("believed", itoa(before.Sum())), field("waiting", itoa(len(keys))))
 	for _, key := range never {
-		if f := s.flows[key]; !f.unsent {
-			f.unsent = true
-			s.connections.unsent = append(s.connections.unsent, flowCheck{key: key, since: f.openedAt})
+		if f := s.flows[key]; !f.queued {
+			f.queued = true
+			s.connections.toSendOn = append(s.connections.toSendOn, flowCheck{key: key, since: f.openedAt})
 		}
 	}
 	s.sendOnWaiting()
@@ -104,14 +104,14 @@
 // a choice among thousands of targets is made for each, and all other packets wait behind.
 func (s *Steerer) sendOnWaiting() {
 	c := &s.connections
-	for len(c.unsent) > 0 && c.sendsOn < maxSendsOn {
-		check := c.unsent[0]
-		c.unsent = c.unsent[1:]
+	for len(c.toSendOn) > 0 && c.sendsOn < maxSendsOn {
+		check := c.toSendOn[0]
+		c.toSendOn = c.toSendOn[1:]
 		f := s.flows[check.key]
 		if f == nil {
 			continue
 		}
-		f.unsent = false
+		f.queued = false
 		if !f.opened && f.request != nil && f.openedAt == check.since {
 			c.sendsOn++
 			s.sendOn(check.key, f)
@@ -165,7 +165,7 @@
 	})
 }
 
-// refuseFull refuses a flow since all targets are full.
+// refuseFull refuses a flow because all targets are full.
 func (s *Steerer) refuseFull(p *Packet, c *choice) {
 	s.counts.add(RefusedFull)
 	v := s.connections.tight[c.service]
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -37,16 +37,17 @@
 	copied bool
 	// repeated says that the caller has repeated its opening packet at this host.
 	repeated bool
-	// unsent says that it waits for its turn to be sent on.
-	unsent bool
-	// sentOn counts the targets after the first to which this host has sent it.
+	// queued says that the opening packet waits for its turn to be sent on.
+	queued bool
+	// sentOn counts the targets after the first to which this host has sent the opening
+	// packet.
 	sentOn uint8
 	// waiting says that a request is under way since waitingSince.
 	waiting bool
 	closed  bool
 	// asked says that the flow has brought a request.
 	asked bool
-	// placed says that this host took the place for it, rather than found it there.
+	// placed says that this host placed the flow at its target; it found any other open.
 	placed bool
 	// place counts the flow among those that its target holds; nil if it is not.
 	place *limiter.Target
@@ -58,7 +59,7 @@
 	acknowledged uint32
 	waitingSince timekeeper.Instant
 	// request is the first packet of the request that waits, if it is kept; of a flow that
-	// has not opened it is the opening packet, if its target may be full.
+	// has not opened it is the opening packet, if its service is short of connections.
 	request []byte
 	// paced is the flow's request that waits at this host, pacedFor how long the last
 	// one waited. underWay is the service that counts the request that was passed on.
@@ -68,9 +69,10 @@
 	// lastData is when the last new data of the request under way was passed on.
 	lastData timekeeper.Instant
 	// expected is how long that request should take from its end, 0 if that is not known.
-	// assumed is the logarithm by which it took longer, as learned while it waited.
 	expected time.Duration
-	assumed  float64
+	// assumed is how much longer it has taken so far, as a binary logarithm; see
+	// estimator.Excess. It was learned while the request waited; 0 if nothing was.
+	assumed float64
 	// unconfirmed counts the bytes since the target last showed life.
 	unconfirmed uint32
 	lastPacket  timekeeper.Instant
--- a/core/steerer/places.go
+++ b/core/steerer/places.go
@@ -21,13 +21,14 @@
 	// briefShare is the part of a route's flows that have to be brief for all to count so.
 	briefShare = 0.5
 	// manyBriefShare is the part of the flows asked for beyond which places are reserved for
-	// brief ones. useMemory is what is left of what was asked for and placed at each look:
-	// that of some seconds.
+	// brief ones.
 	manyBriefShare = 0.1
-	useMemory      = 0.95
-	// mostReserved is the divisor of the most that is kept back: a quarter of the places, or
-	// one for checks where there are fewer than four.
-	mostReserved = 4
+	// useMemory is the part of a route's counts that is kept from one look to the next, so
+	// that they tell of the last seconds.
+	useMemory = 0.95
+	// reservedDivisor bounds what is kept back: a quarter of the places, or one for checks
+	// where there are fewer than four.
+	reservedDivisor = 4
 )
 
 // routeUse is what a route's callers do with a service through this host.
@@ -35,11 +36,13 @@
 	priority int
 	// held counts their flows that hold places.
 	held int
-	// asked counts the flows that they have asked for of late, opened those that opened, and
-	// left those of them that left their places within briefSpan.
-	asked  float64
+	// asked counts the flows that they have asked for of late; it fades with each look, as
+	// the next two do.
+	asked float64
+	// opened counts those that opened.
 	opened float64
-	left   float64
+	// left counts those that opened and left their places within briefSpan.
+	left float64
 }
 
 // takePlace counts a flow at its target until releasePlace takes it back.
@@ -57,6 +60,7 @@
 	s.use(f.target.Service, &f.route).held++
 }
 
+// releasePlace takes back what takePlace counted, if it has.
 func (s *Steerer) releasePlace(f *flow) {
 	if f.place == nil {
 		return
@@ -97,7 +101,7 @@
 	return use
 }
 
-// boundFor is how many flows a target may have for one more of a route to be placed.
+// boundFor is what a target of the service holds, as a flow of a route asks for it.
 //
 // What goes wrong if all flows are alike: those that last collect at the targets until there
 // is room for nothing else, and callers with short flows, or with more urgent ones, find
@@ -115,12 +119,12 @@
 		rank++
 	}
 	step := int(reservedShare*float64(v.bound) + 0.5)
-	return limiter.Bound{Flows: v.bound, Reserved: min(checkPlaces+rank*step, max(v.bound/mostReserved, checkPlaces), v.bound-1)}
+	return limiter.Bound{Flows: v.bound, Reserved: min(checkPlaces+rank*step, max(v.bound/reservedDivisor, checkPlaces), v.bound-1)}
 }
 
-// sortRoutes tells the routes whose flows last from those whose flows are brief, by what
+// classifyRoutes tells the routes whose flows last from those whose flows are brief, by what
 // this host's callers do.
-func (s *Steerer) sortRoutes(v *tightService) {
+func (s *Steerer) classifyRoutes(v *tightService) {
 	v.brief = map[string]bool{}
 	asked, brief := 0.0, 0.0
 	uses := s.connections.uses[v.name]
--- a/core/steerer/telling.go
+++ b/core/steerer/telling.go
@@ -19,14 +19,16 @@
 
 // zoneFlows is what another zone tells of a service.
 type zoneFlows struct {
+	// mean is how many flows each of the zone's targets has on average.
 	mean     int
 	deadline timekeeper.Instant
 }
 
 type zoneService struct{ zone, service string }
 
-// toldFlows is what a host is told of this host's flows, by target: one of the own zone of
-// all, others of those in their zone. Nobody is told of services that have plenty.
+// toldFlows is how many flows this host has at each target, for a report to another host. One
+// of the own zone is told of all targets, any other of those in its zone. Services that have
+// plenty are left out.
 func (s *Steerer) toldFlows(to *peer) map[uint32]uint16 {
 	if len(s.connections.tight) == 0 || to.zone == "" {
 		return nil
@@ -54,13 +56,12 @@
 }
 
 // addZoneFlows tells a host of another zone how many flows the targets of this zone have on
-// average, of services that are short of connections.
+// average, of services that are short of connections. Where there are more than maxDemands
+// of these, they take turns.
 //
 // What goes wrong otherwise: a zone's targets are full, and its hosts send their callers to
 // another zone's, of which they know only their own flows. One notices by targets that turn
 // out to be full though believed to be empty.
-//
-// Of more than maxDemands services each report tells of others.
 func (s *Steerer) addZoneFlows(r *messenger.Report) {
 	names := s.tightNames()
 	c := &s.connections
@@ -81,6 +82,7 @@
 	}
 }
 
+// tightNames lists the services that are short of connections, sorted.
 func (s *Steerer) tightNames() []string {
 	var names []string
 	for name := range s.connections.tight {
@@ -120,6 +122,11 @@
 		}
 	}
 	s.connections.heard = s.now
-	near := p.zone == s.config.AvailabilityZone
-	s.connections.limiter.Take(p.name, limiter.Word{Incarnation: r.Incarnation, Near: near, Flows: flows, Partial: len(r.Flows) >= maxToldFlows}, s.now)
+	word := limiter.Word{
+		Incarnation: r.Incarnation,
+		Near:        p.zone == s.config.AvailabilityZone,
+		Flows:       flows,
+		Partial:     len(r.Flows) >= maxToldFlows,
+	}
+	s.connections.limiter.Take(p.name, word, s.now)
 }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -289,7 +289,7 @@
 without "speed that ends with a life" steerer/life.go 't.pace = estimator.Target{}' '' TestRestartedTargetIsNotSlow
 package=limiter
 without "what a host has forgotten since it started" limiter/limiter.go 'b.Estimated = l.forgotten(t, now) + int(others+0.5)' 'b.Estimated = int(others + 0.5)' TestHostThatHasStartedAgainCountsWhatItDoesNotRemember
-without "what a host told before it started again" limiter/limiter.go 'n := max(told, l.left(int(h.former[tag]), h.formerSince, now))' 'n := told' TestFlowsThatAHostHasForgottenCountOn
+without "what a host told before it started again" limiter/limiter.go 'n := max(told, l.remaining(int(h.former[tag]), h.formerSince, now))' 'n := told' TestFlowsThatAHostHasForgottenCountOn
 without "flows unseen at full targets" limiter/limiter.go 't.unseen = max(bound-' 't.unseen = 0 * max(bound-' 'TestTargetThatIsFoundFullStaysSoUntilItsFlowsEnd|TestHostsThatDoNotHearEachOtherStayWithinTheBound'
 without "growth since others were heard" limiter/limiter.go '+ g.Growth*float64(tellers)' '+ 0*g.Growth' TestHerdIsTurnedAwayInTime
 without "turns at the last places" limiter/limiter.go 'return int(l.draw(tag, now)%uint64(hosts)) < room' 'return true || int(l.draw(tag, now)%uint64(hosts)) < room' TestHostsOfAZoneKeepToTheLastPlacesTogether
@@ -301,7 +301,7 @@
 without "hosts that tell no more" limiter/limiter.go 'if h.near && !h.silent && now.Since(h.heard) > silence {' 'if false {' TestDeadHostsAreNoTellers
 
 package=steerer
-without "an even spread of connections" steerer/connections.go 'return connectionLoad * float64(flows)' 'return 0 * connectionLoad * float64(flows)' TestIdleTargetIsNotFilledWithFlows
+without "an even spread of connections" steerer/connections.go 'return connectionWeight * float64(flows)' 'return 0 * connectionWeight * float64(flows)' TestIdleTargetIsNotFilledWithFlows
 without "the bound of connections" steerer/connections.go 'if !admits {' 'if false && !admits {' TestFlowsBeyondAllPlacesAreRefusedAtOnce
 without "brief flows" steerer/places.go 'if v.brief[route.Name] {' 'if false {' TestBriefFlowsFindRoomBesideThoseThatLast
 without "places for higher priority" steerer/places.go 'checkPlaces+rank*step' 'checkPlaces+0*rank*step' TestPlacesAreReservedForHigherPriority
@@ -319,7 +319,7 @@
 without "flows that were found open" steerer/places.go 'f.placed = !f.opened' 'f.placed = true' TestPlacesAreTakenBackAsTheyWereTaken
 without "closed flows that take no place" steerer/steering.go 'if !f.closed {' 'if true {' TestPlacesAreTakenBackAsTheyWereTaken
 without "trials where there is room" steerer/estimating.go 's.connectionLoad(t, crowd); !room {' 's.connectionLoad(t, crowd); false && !room {' TestTrialsGoToTargetsWithRoom
-without "a place for checks at small bounds" steerer/places.go 'max(v.bound/mostReserved, checkPlaces), v.bound-1)' 'v.bound/mostReserved)' TestSmallBoundsKeepAPlaceForChecks
+without "a place for checks at small bounds" steerer/places.go 'max(v.bound/reservedDivisor, checkPlaces), v.bound-1)' 'v.bound/reservedDivisor)' TestSmallBoundsKeepAPlaceForChecks
 without "uses of bounded services alone" steerer/places.go 'if s.settings.service(service).MaxConnections <= 0 {' 'if false {' TestUsesOfPastRoutesAreForgotten
 without "the end of uses" steerer/connections.go 'delete(s.connections.uses, service)' '_ = service' TestBoundThatIsTakenBackLeavesNothing
 without "word of known services alone" steerer/telling.go 'if d.Flows > 0 && known {' '_ = known; if d.Flows > 0 {' TestWordOfUnknownServicesIsNotKept
