--- a/core/evacuator/evacuator.go
+++ b/core/evacuator/evacuator.go
@@ -55,17 +55,18 @@
 
 // Change is an order that came into force or was taken back.
 type Change struct {
-	Zone  string
+	Zone string
+	// Given says that the order came into force.
 	Given bool
 }
 
 // Evacuator is what one host knows of orders. It belongs to one owner.
 type Evacuator struct {
 	orders Orders
-	// held are the zones whose order a restore of the platform has undone, with until when
+	// held says, of each zone whose order a restore of the platform has undone, until when
 	// the order counts nevertheless.
 	held map[string]timekeeper.Instant
-	// copied are the zones whose order came back with a restore of the platform, with until
+	// copied says, of each zone whose order came back with a restore of the platform, until
 	// when the operators may still take it back again.
 	copied map[string]timekeeper.Instant
 	// lifted is when this host learned that the last order for a zone was taken back.
@@ -74,7 +75,11 @@
 
 // New makes an Evacuator that knows of no orders.
 func New() *Evacuator {
-	return &Evacuator{held: map[string]timekeeper.Instant{}, copied: map[string]timekeeper.Instant{}, lifted: map[string]timekeeper.Instant{}}
+	return &Evacuator{
+		held:   map[string]timekeeper.Instant{},
+		copied: map[string]timekeeper.Instant{},
+		lifted: map[string]timekeeper.Instant{},
+	}
 }
 
 // Orders returns the newest orders, as they were given.
--- a/core/sequencer/sequencer.go
+++ b/core/sequencer/sequencer.go
@@ -23,8 +23,8 @@
 	"time"
 )
 
-// RewriteTime is how long what the platform lost, by a restore or while it was away, may still
-// be written again: writers do so within about two seconds, and a read brings it.
+// RewriteTime is how long a host waits for what the platform lost, by a restore or while it
+// was away: writers write it again within about two seconds, the rest is for a read.
 const RewriteTime = 2500 * time.Millisecond
 
 // Position is a point in the platform's history. It is immutable and may be compared with
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -81,7 +81,7 @@
 		return
 	}
 	reborn := ok && record.Born != known.Born
-	restored := s.restoredState(known, record, seen)
+	restored := s.forgottenByRestore(known, record, seen)
 	t, shared := s.targets.put(record, seen)
 	t.restored = restored
 	if s.targetsPosition.Known() {
@@ -134,7 +134,7 @@
 	s.logTarget("targetMissing", t, field("draining", btoa(t.Draining)), field("revision", seen.String()), field("from", from))
 }
 
-// gone reports whether a target may get no new flows since it is not listed.
+// gone reports whether a target may get no new flows because it is not listed.
 //
 // What goes wrong if a missing target is dropped at once: while the platform is
 // in trouble entries of live targets vanish, at worst all of them, and callers
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -104,10 +104,11 @@
 	}
 }
 
-// confirmation says that a read of the platform, in some era of its history, has shown
-// what was complete at a moment.
+// confirmation says that a read of the platform has shown what was complete at a moment.
 type confirmation struct {
-	read   uint64
+	// read is the number of the read; 0 if the host that tells of it numbers none.
+	read uint64
+	// era is that of the platform's history that the read has shown.
 	era    uint64
 	moment timekeeper.Instant
 }
--- a/core/steerer/restoring.go
+++ b/core/steerer/restoring.go
@@ -31,8 +31,8 @@
 	return s.targetsPosition.Known() && s.targetsPosition.Era < s.reading.era
 }
 
-// readRestored has a host that read of a restore itself read the rest anew, too. The
-// others hear of it.
+// readRestored has a host that learned of a restore by a read of its own read the other
+// source anew, too. The other hosts hear of it from this one.
 func (s *Steerer) readRestored() {
 	if s.leftBehind() {
 		s.reading.targets.urgent = true
@@ -79,15 +79,15 @@
 		field("earlierRevision", earlier.String()), field("revision", s.targetsPosition.String()), field("from", from))
 }
 
-// restoredState is what was known of a target that a restored store lists as ready, or lists
-// no more.
+// restoredState is what a restored store contradicts of what was known of a target.
 type restoredState struct {
-	// draining and gone say that it was.
+	// draining says that the target was draining, and the restored store lists it as ready.
 	draining bool
-	gone     bool
+	// gone says that it was no longer listed, and the restored store lists it as ready.
+	gone bool
 	// lacked says that it was listed, without draining, and the restored store lacks it.
 	lacked bool
-	// deadline is until when that counts.
+	// deadline is until when the other fields count.
 	deadline timekeeper.Instant
 }
 
@@ -98,14 +98,14 @@
 	return "no longer listed"
 }
 
-// restoredState returns what a restored store has forgotten of a target, which is known
-// if it is not nil.
+// forgottenByRestore returns what a restored store, whose record was seen at a position, has
+// forgotten of a target; known is nil for a target that is new to this host.
 //
 // What goes wrong without it: a target drains, or has left, and the copy is from before
 // that. New flows go to it until it has said so again, at once on every host, and end with
 // it; its address may have been given to another target, which does not answer them. One
 // notices by flows that do not open, or are cut, in the seconds after "storeRestored".
-func (s *Steerer) restoredState(known *target, record Target, seen sequencer.Position) restoredState {
+func (s *Steerer) forgottenByRestore(known *target, record Target, seen sequencer.Position) restoredState {
 	if !s.crosses(seen) || known == nil || known.Born != record.Born || record.Draining {
 		return restoredState{}
 	}
@@ -115,8 +115,8 @@
 	return restoredState{draining: known.Draining, gone: known.missing, deadline: s.now.Add(sequencer.RewriteTime)}
 }
 
-// drainedBeforeRestore reports whether a target gets no new flows since it was draining, or
-// had left, before the platform was restored.
+// drainedBeforeRestore reports whether a target gets no new flows because it was draining,
+// or had drained and left, before the platform was restored.
 func (s *Steerer) drainedBeforeRestore(t *target) bool {
 	return t.restored.draining && !t.restored.deadline.Passed(s.now)
 }
@@ -132,8 +132,8 @@
 }
 
 // vanishedOverRestore reports whether a target gets new flows only where no other may serve
-// them, since it had vanished without draining before the platform was restored, or is
-// missing since, and has not shown of late that it lives.
+// them, because it had vanished without draining before the platform was restored, or has
+// been missing from then on, and has not shown of late that it lives.
 //
 // What goes wrong if it gets none at all: entries lapse while the platform is in trouble, and
 // then it is restored. All targets of a service are refused, though each of them works. One
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -88,8 +88,8 @@
 	bornAt sequencer.Position
 	// missingSince is when that was noticed.
 	missingSince timekeeper.Instant
-	// restored is what the platform's former life had told of the target when a restored
-	// one listed it as ready.
+	// restored is what was known of the target before the platform was restored, and what
+	// the restored platform contradicts.
 	restored restoredState
 	// warmUpDeadline is when the target has its full speed.
 	warmUpDeadline timekeeper.Instant
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -410,7 +410,7 @@
 	return fmt.Sprintf("%d times, from %s", times, age)
 }
 
-// rewriteTime is within what time everybody writes again what a restore has lost.
+// rewriteTime is the time within which everybody writes again what a restore has lost.
 const rewriteTime = 2 * time.Second
 
 // treatAll sets how the store treats all hosts.
