--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -10,19 +10,19 @@
 
 const (
 	// askEvery is the least time between the beginnings of two questions to other
-	// hosts, askAgain the mean pause after one that failed. A host that turns another
+	// hosts, askRetryPause the mean pause after one that failed. A host that turns another
 	// away does so at once, and the next has room.
-	askEvery = 300 * time.Millisecond
-	askAgain = 100 * time.Millisecond
+	askEvery      = 300 * time.Millisecond
+	askRetryPause = 100 * time.Millisecond
 	// firstReadPatience is how long a host that has just started waits for its own
 	// first reads before it asks others: the platform answers in some milliseconds.
 	firstReadPatience = 100 * time.Millisecond
-	// answerPatience is how long a host may take to begin its answer. That takes three
+	// usualAnswerPatience is how long a host may take to begin its answer. That takes three
 	// round trips, and a few tens of milliseconds of a small processor to compress what is
 	// told. While packets wait in this host's own link, by a few hundred milliseconds each
 	// way, it is slowAnswerPatience.
-	answerPatience     = 500 * time.Millisecond
-	slowAnswerPatience = 2 * time.Second
+	usualAnswerPatience = 500 * time.Millisecond
+	slowAnswerPatience  = 2 * time.Second
 	// behindShare and behindSpread say how long a host that has heard of newer settings
 	// asks others before it reads the platform: at most from 0.3 to 0.5 of the time in
 	// which settings must be known, each host at its own part. Half is left for the read.
@@ -99,7 +99,7 @@
 	if s.path.slow(s.now) {
 		return slowAnswerPatience
 	}
-	return answerPatience
+	return usualAnswerPatience
 }
 
 // awaitsFirstReads reports whether the first reads after this host's start may still come in
@@ -151,7 +151,7 @@
 		}
 	}
 	s.noteDifference(agrees || !s.targetsPosition.Before(position))
-	if s.leftBehind() {
+	if s.inEndedEra() {
 		return s.pickInformant(newest)
 	}
 	if newest < s.version() || (s.settings != nil && newest == s.version() && !s.lacksTargets()) {
@@ -190,7 +190,7 @@
 	switch {
 	case !p.hears(s.now) || !p.position.Known():
 		return false
-	case s.leftBehind():
+	case s.inEndedEra():
 		return p.position.Era == s.reading.era
 	case p.version != newest:
 		return false
@@ -212,7 +212,7 @@
 // lacksTargets reports whether others should be asked for their targets.
 func (s *Steerer) lacksTargets() bool {
 	differs := s.asking.differsSince != 0 && s.asking.differsSince.Add(askPatience).Passed(s.now)
-	return !s.targetsPosition.Known() || s.leftBehind() || differs
+	return !s.targetsPosition.Known() || s.inEndedEra() || differs
 }
 
 // version is that of the settings in force; 0 without any.
@@ -228,7 +228,7 @@
 func (s *Steerer) hostAnswered(e *HostAnswered) {
 	s.asking.asked = false
 	if e.Err != nil {
-		pause := time.Duration(float64(askAgain) * (0.5 + s.random.Float64()))
+		pause := time.Duration(float64(askRetryPause) * (0.5 + s.random.Float64()))
 		s.asking.deadline = s.now.Add(pause)
 		s.log("hostNotAnswering", field("peer", e.From), field("error", e.Err.Error()))
 		return
--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -42,9 +42,10 @@
 	// sentOn counts the targets after the first to which this host has sent the opening
 	// packet.
 	sentOn uint8
-	// waiting says that a request is under way since waitingSince.
+	// waiting says that a request is under way.
 	waiting bool
-	closed  bool
+	// closed says that one end has closed the flow; it is kept for late repeats.
+	closed bool
 	// asked says that the flow has brought a request.
 	asked bool
 	// placed says that this host placed the flow at its target; it found any other open.
@@ -57,6 +58,7 @@
 	// highest byte that the caller has acknowledged.
 	sentEnd      uint32
 	acknowledged uint32
+	// waitingSince is when the request under way began.
 	waitingSince timekeeper.Instant
 	// request is the first packet of the request that waits, if it is kept; of a flow that
 	// has not opened it is the opening packet, if its service is short of connections.
--- a/core/steerer/inspecting.go
+++ b/core/steerer/inspecting.go
@@ -69,7 +69,7 @@
 	PeersBusy int `json:"peersBusy"`
 	// Paced counts the requests that wait at this host for the target.
 	Paced int `json:"paced"`
-	// Slowness is how much longer the target takes for a request than is usual; 1 is usual.
+	// Slowness is the target's time for a request as a multiple of the usual; 1 is usual.
 	Slowness float64 `json:"slowness"`
 	// Connections is how many flows the target holds as far as known, ConnectionsBound how
 	// many it may; both are 0 unless its service is short of connections.
--- a/core/steerer/reading.go
+++ b/core/steerer/reading.go
@@ -313,9 +313,9 @@
 	r.returnedAt = s.now
 }
 
-// endRead takes in the end of a read that shows a position. It reports whether what was
-// read is to be taken in: an answer that comes after the news of a restore may be from
-// before it.
+// endRead takes in the end of a read that shows a position; what names the source in logs. It
+// reports whether what was read is to be taken in: an answer that comes after the news of a
+// restore may be from before it.
 func (s *Steerer) endRead(src *source, what string, started timekeeper.Instant, mayBeStale bool, position sequencer.Position, err error) bool {
 	s.noteFailed(what, err)
 	if err != nil {
@@ -336,6 +336,8 @@
 	return true
 }
 
+// settingsRead takes in the end of a read of what operators have published. A read that
+// failed may have brought their orders nevertheless.
 func (s *Steerer) settingsRead(e *SettingsRead) {
 	taken := s.endRead(&s.reading.settings, "settings", e.Started, e.MayBeStale, e.Published.Orders.Position, e.Err)
 	if taken || e.Err != nil {
@@ -408,6 +410,7 @@
 	s.peers.news = true
 }
 
+// targetsRead takes in the end of a read of the targets.
 func (s *Steerer) targetsRead(e *TargetsRead) {
 	taken := s.endRead(&s.reading.targets, "targets", e.Started, e.MayBeStale, e.List.Position, e.Err)
 	if s.reading.settings.unread() {
--- a/core/steerer/restoring.go
+++ b/core/steerer/restoring.go
@@ -26,15 +26,15 @@
 		field("version", utoa(s.version())), field("revision", s.targetsPosition.String()), field("targetsAgeMillis", s.targetsAge()))
 }
 
-// leftBehind reports whether the targets known here are of an era that has ended.
-func (s *Steerer) leftBehind() bool {
+// inEndedEra reports whether the targets known here are of an era that has ended.
+func (s *Steerer) inEndedEra() bool {
 	return s.targetsPosition.Known() && s.targetsPosition.Era < s.reading.era
 }
 
 // readRestored has a host that learned of a restore by a read of its own read the other
 // source anew, too. The other hosts hear of it from this one.
 func (s *Steerer) readRestored() {
-	if s.leftBehind() {
+	if s.inEndedEra() {
 		s.reading.targets.urgent = true
 	}
 	if orders := s.evacuator.Orders().Position; orders.Known() && orders.Era < s.reading.era {
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -41,7 +41,7 @@
 	return Tag(n)
 }
 
-// Target is one start of a back end, as it registered itself.
+// Target is one start of a process that answers for a service, as it registered itself.
 type Target struct {
 	ID               string
 	Number           Number
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -241,7 +241,7 @@
 package=steerer
 without "eras before revisions" sequencer/sequencer.go 'if c := cmp.Compare(p.Era, other.Era); c != 0 {' 'if c := cmp.Compare(p.Era, other.Era); false && c != 0 {' 'TestRestoredListIsTaken|TestErasAgainstOracle'
 without "whole lists of a new era" sequencer/sequencer.go 'return other.Known() && p.Era == other.Era' 'return other.Known()' TestWholeListEndsWhatOnlyAnEndedEraHad
-without "questions after a restore" steerer/asking.go '|| s.leftBehind() || differs' '|| differs' TestHostThatWasCutOffLearnsOfTheNewEraFromOthers
+without "questions after a restore" steerer/asking.go '|| s.inEndedEra() || differs' '|| differs' TestHostThatWasCutOffLearnsOfTheNewEraFromOthers
 without "confirmations of this era only" steerer/reports.go '|| r.era < s.reading.era {' '{' TestConfirmationsOfAnEndedEraDoNotCount
 without "late answers left out" steerer/reading.go 'if position.Era < s.reading.era {' 'if false {' TestLateReadMakesNoEndedEraLookFresh
 without "states of this era only" steerer/reports.go 'if seen.Era < s.targetsPosition.Era {' 'if false {' TestHostOfAnEndedEraConvincesNobody
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -25,7 +25,7 @@
 	ledger = "ledger"
 	intake = "intake"
 	// drainLimit and inForceWithin are the promises of the pages, with a little for
-	// this machine's own scheduling.
+	// the scheduling of the computer that it runs on.
 	drainLimit    = 3200 * time.Millisecond
 	inForceWithin = 3200 * time.Millisecond
 	// calmAfter is how long after a disturbance promises with a time hold again.
