--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -82,7 +82,7 @@
 )
 
 // word is what somebody has told of demand.
-type word struct {
+type report struct {
 	demand Demand
 	heard  timekeeper.Instant
 }
@@ -103,8 +103,8 @@
 // Admitter is what a host knows of the room of one service.
 type Admitter struct {
 	own   meter
-	hosts map[string]word
-	zones map[string]word
+	hosts map[string]report
+	zones map[string]report
 
 	view   View
 	demand Demand
@@ -126,7 +126,7 @@
 
 // New makes the admitter of a service of which nothing is known.
 func New() *Admitter {
-	a := &Admitter{hosts: map[string]word{}, zones: map[string]word{}, correction: 1}
+	a := &Admitter{hosts: map[string]report{}, zones: map[string]report{}, correction: 1}
 	a.admitAll()
 	a.inForce = a.shares
 	return a
@@ -144,12 +144,12 @@
 
 // TakeHost takes in what another host of the own zone tells of its callers.
 func (a *Admitter) TakeHost(host string, demand Demand, now timekeeper.Instant) {
-	a.hosts[host] = word{demand: demand, heard: now}
+	a.hosts[host] = report{demand: demand, heard: now}
 }
 
 // TakeZone takes in what a host of another zone tells of all callers there.
 func (a *Admitter) TakeZone(zone string, demand Demand, now timekeeper.Instant) {
-	a.zones[zone] = word{demand: demand, heard: now}
+	a.zones[zone] = report{demand: demand, heard: now}
 }
 
 // Own is what this host's callers ask.
@@ -161,9 +161,9 @@
 func (a *Admitter) Zone(now timekeeper.Instant) Demand {
 	var told total
 	count := 1
-	for _, w := range a.hosts {
-		if now.Since(w.heard) <= hostMemory {
-			told.add(&w.demand)
+	for _, r := range a.hosts {
+		if now.Since(r.heard) <= hostMemory {
+			told.add(&r.demand)
 			count++
 		}
 	}
@@ -174,9 +174,9 @@
 // fleet is what callers of all zones ask that were heard of late.
 func (a *Admitter) fleet(now timekeeper.Instant) Demand {
 	var told total
-	for _, w := range a.zones {
-		if now.Since(w.heard) <= zoneMemory {
-			told.add(&w.demand)
+	for _, r := range a.zones {
+		if now.Since(r.heard) <= zoneMemory {
+			told.add(&r.demand)
 		}
 	}
 	return a.Zone(now).Plus(told.demand())
@@ -204,13 +204,13 @@
 
 // forget drops what is too old to count.
 func (a *Admitter) forget(now timekeeper.Instant) {
-	for host, w := range a.hosts {
-		if now.Since(w.heard) > hostMemory {
+	for host, r := range a.hosts {
+		if now.Since(r.heard) > hostMemory {
 			delete(a.hosts, host)
 		}
 	}
-	for zone, w := range a.zones {
-		if now.Since(w.heard) > zoneMemory {
+	for zone, r := range a.zones {
+		if now.Since(r.heard) > zoneMemory {
 			delete(a.zones, zone)
 		}
 	}
@@ -338,11 +338,11 @@
 // Age is how old the oldest word is on which the demand rests.
 func (a *Admitter) Age(now timekeeper.Instant) time.Duration {
 	oldest := now
-	for _, w := range a.hosts {
-		oldest = min(oldest, w.heard)
+	for _, r := range a.hosts {
+		oldest = min(oldest, r.heard)
 	}
-	for _, w := range a.zones {
-		oldest = min(oldest, w.heard)
+	for _, r := range a.zones {
+		oldest = min(oldest, r.heard)
 	}
 	return now.Since(oldest)
 }
--- /dev/null
+++ b/core/estimator/reports.go
@@ -0,0 +1,40 @@
+package estimator
+
+import "cranberryspan.dev/core/timekeeper"
+
+// words are the latest words of different hosts that a target's answers come too
+// quickly. More than enoughTooQuick say no more; all of them would be memory that grows with
+// hosts times targets.
+type quickReports [enoughTooQuick]quickReport
+
+// word is one host's word, and until when it counts.
+type quickReport struct {
+	host     string
+	deadline timekeeper.Instant
+}
+
+// add takes in a host's word, in the place of its last one or of the oldest.
+func (r *quickReports) add(host string, deadline timekeeper.Instant) {
+	oldest := 0
+	for i := range r {
+		if r[i].host == host {
+			r[i].deadline = deadline
+			return
+		}
+		if r[i].deadline < r[oldest].deadline {
+			oldest = i
+		}
+	}
+	r[oldest] = quickReport{host, deadline}
+}
+
+// count is how many words count still.
+func (r *quickReports) count(now timekeeper.Instant) int {
+	count := 0
+	for i := range r {
+		if r[i].host != "" && !r[i].deadline.Passed(now) {
+			count++
+		}
+	}
+	return count
+}
--- a/core/estimator/words_internal_test.go
+++ b/core/estimator/reports_internal_test.go
@@ -15,14 +15,14 @@
 // Two of them are as good as all, since nobody asks for more than two.
 func TestTwoQuickWordsSayWhatAllSay(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
-	var kept words
+	var kept quickReports
 	all := map[string]timekeeper.Instant{}
 	now := timekeeper.Instant(time.Second)
 	for range 5000 {
 		now = now.Add(time.Duration(random.IntN(int(2 * time.Second))))
 		host := fmt.Sprint(random.IntN(6))
-		kept.add(host, now.Add(quickMemory))
-		all[host] = now.Add(quickMemory)
+		kept.add(host, now.Add(tooQuickMemory))
+		all[host] = now.Add(tooQuickMemory)
 		later := now.Add(time.Duration(random.IntN(int(4 * time.Second))))
 		count := 0
 		for _, deadline := range all {
@@ -30,6 +30,6 @@
 				count++
 			}
 		}
-		require.Equal(t, min(count, quickEnough), kept.count(later))
+		require.Equal(t, min(count, enoughTooQuick), kept.count(later))
 	}
 }
--- a/core/estimator/target.go
+++ b/core/estimator/target.go
@@ -26,8 +26,8 @@
 	told map[string]sum
 	slow bool
 	// factor is kept by Refresh, since a choice looks at all targets.
-	factor float64
-	trial  timekeeper.Instant
+	slowness  float64
+	nextTrial timekeeper.Instant
 }
 
 // Observe takes in a sample of this host, beyond what all its answers of the zone show.
@@ -95,9 +95,9 @@
 	}
 	excess := t.Excess()
 	t.slow = excess > limit
-	t.factor = 0
+	t.slowness = 0
 	if t.slow {
-		t.factor = excess
+		t.slowness = excess
 	}
 	return t.slow != before
 }
@@ -115,7 +115,7 @@
 func (t *Target) Slow() bool { return t.slow }
 
 // Slowness is the logarithm that new flows are placed by: 0 unless the target is slow.
-func (t *Target) Slowness() float64 { return t.factor }
+func (t *Target) Slowness() float64 { return t.slowness }
 
 // Samples returns how many recent samples the belief rests on, and how many are own.
 func (t *Target) Samples() (all, own float64) { return t.all.weight, t.own.weight }
--- a/core/estimator/trials.go
+++ b/core/estimator/trials.go
@@ -31,15 +31,15 @@
 
 // TrialDue reports whether a slow target should be tried by this host.
 func (t *Target) TrialDue(now timekeeper.Instant) bool {
-	return t.slow && t.all.weight < enoughSamples && t.trial.Passed(now)
+	return t.slow && t.all.weight < enoughSamples && t.nextTrial.Passed(now)
 }
 
 // SetTrial sets when this host, one of some in the zone, tries the target next. Chance is
 // between 0 and 1, and keeps hosts that learned of it together from trying together.
 func (t *Target) SetTrial(hosts int, chance float64, now timekeeper.Instant) {
 	pause := time.Duration(max(hosts, 1)) * time.Second / trialsPerSecond
-	t.trial = now.Add(time.Duration(2 * chance * float64(pause)))
+	t.nextTrial = now.Add(time.Duration(2 * chance * float64(pause)))
 }
 
 // Trial is when this host may try the target next.
-func (t *Target) Trial() timekeeper.Instant { return t.trial }
+func (t *Target) Trial() timekeeper.Instant { return t.nextTrial }
--- a/core/estimator/zone.go
+++ b/core/estimator/zone.go
@@ -16,9 +16,9 @@
 	zoneMemory = 2 * time.Second
 	// leastZoneSamples are needed to believe anything of a zone.
 	leastZoneSamples = 3
-	// quickPart of the samples are quicker than what is taken for the zone's own speed:
+	// zoneQuantile of the samples are quicker than what is taken for the zone's own speed:
 	// it stays where it is as long as a quarter of the work meets quick targets.
-	quickPart = 0.25
+	zoneQuantile = 0.25
 )
 
 // Zone is how fast the targets of a service in a zone are together, as one host sees it.
@@ -73,7 +73,7 @@
 		return
 	}
 	slices.Sort(recent[:count])
-	z.excess = max(recent[int(quickPart*float64(count))], 0)
+	z.excess = max(recent[int(zoneQuantile*float64(count))], 0)
 }
 
 // Excess is the logarithm of the zone's time for a request as a multiple of the usual: 0
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -3,11 +3,11 @@
 import "fmt"
 
 const (
-	// lineShare is the part of a host's window that may wait while the fleet has room.
-	lineShare = 0.25
-	// slowerBy is how many times as long as another a target takes that is slower by more
+	// maxWaitingShare is the part of a host's window that may wait while the fleet has room.
+	maxWaitingShare = 0.25
+	// slowerTimes is how many times as long as another a target takes that is slower by more
 	// than chance.
-	slowerBy = 1.5
+	slowerTimes = 1.5
 )
 
 // short reports whether a service is asked for more than it has room for.
@@ -80,7 +80,7 @@
 // answer then. Fewer are the unevenness of the moment: while the fleet has room they are no
 // ground to refuse anybody.
 func (s *Steerer) wouldBeLate(v *service, to *target) bool {
-	return v.load.Pressed() && float64(s.waitingBeside(v, to)) >= lineShare*v.load.Window()
+	return v.load.Pressed() && float64(s.waitingBeside(v, to)) >= maxWaitingShare*v.load.Window()
 }
 
 // waitingBeside counts the requests that wait at this host for targets that are no slower
@@ -90,7 +90,7 @@
 // are open there wait. New flows would go to quick targets with slots free, and are refused.
 func (s *Steerer) waitingBeside(v *service, to *target) int {
 	waiting := 0
-	most := slowerBy * s.slowness(to)
+	most := slowerTimes * s.slowness(to)
 	for _, t := range v.lines {
 		if s.slowness(t) <= most {
 			waiting += t.line.Len()
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -22,9 +22,9 @@
 	// maxSlowLoad bounds what is added for a target that takes longer than usual: less than
 	// doubtedLoad, since a slow target answers.
 	maxSlowLoad = 8
-	// quickLoad is added to the load of a target that fails its work, in requests a slot:
+	// failsWorkLoad is added to the load of a target that fails its work, in requests a slot:
 	// it gets flows only when its siblings are busy, so a false alarm costs little.
-	quickLoad = 2.0
+	failsWorkLoad = 2.0
 	// tieSpread orders targets of equal load by the flow's hash, so that hosts
 	// which do not know of each other's choice make different ones. It is less
 	// than the smallest difference in load.
@@ -201,7 +201,7 @@
 		load += min((estimator.Factor(slowness)-1)*(1+load), maxSlowLoad)
 	}
 	if s.failsWork(t) {
-		load += quickLoad
+		load += failsWorkLoad
 	}
 	if t.AvailabilityZone != s.config.AvailabilityZone {
 		load += otherZoneLoad
--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -17,10 +17,10 @@
 	// overdueTimes times what is expected is how long a request waits before that says
 	// something of its target: by chance one in some twenty takes so long.
 	overdueTimes = 3
-	// maxQuick bounds the targets that a report names as failing their work, maxPaces
+	// maxTooQuick bounds the targets that a report names as failing their work, maxPaces
 	// those whose speed it tells.
-	maxQuick = 32
-	maxPaces = 32
+	maxTooQuick = 32
+	maxPaces    = 32
 	// slowZone is the logarithm by which a zone's answers take longer than another's before
 	// the zone counts as slow: 1.4 times.
 	slowZone = 0.5
@@ -307,8 +307,8 @@
 	return t.failures.Enough(s.now) && !s.pressed(t.Service)
 }
 
-// takeQuick takes in whose quick answers another host of the zone saw.
-func (s *Steerer) takeQuick(from *peer, tags []uint32) {
+// takeTooQuick takes in whose quick answers another host of the zone saw.
+func (s *Steerer) takeTooQuick(from *peer, tags []uint32) {
 	for _, tag := range tags {
 		if t, ok := s.told(from, tag); ok {
 			t.failures.Told(from.name, s.now)
@@ -316,8 +316,8 @@
 	}
 }
 
-// quickOfLate reports whether this host saw quick answers of a target of late.
-func (s *Steerer) quickOfLate(t *target) bool { return t.failures.Recent(s.now) }
+// tooQuickOfLate reports whether this host saw quick answers of a target of late.
+func (s *Steerer) tooQuickOfLate(t *target) bool { return t.failures.Recent(s.now) }
 
 // takePaces takes in how fast another host of the zone finds targets.
 func (s *Steerer) takePaces(from *peer, paces []messenger.TargetPace) {
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -36,7 +36,7 @@
 	p.position = sequencer.At(r.TargetsEra, r.TargetsRevision)
 	p.digest = r.TargetsDigest
 	s.takeBusy(p, r.Busy)
-	s.takeQuick(p, r.Quick)
+	s.takeTooQuick(p, r.Quick)
 	s.takePaces(p, r.Paces)
 	s.takeSilent(p, r.Silent)
 	s.takeDemands(r, p)
@@ -383,7 +383,7 @@
 		if n := t.busy + t.opening; n > 0 {
 			s.own.busy[uint32(t.tag)] = uint16(min(n, 1<<16-1))
 		}
-		if s.quickOfLate(t) && len(s.own.quick) < maxQuick {
+		if s.tooQuickOfLate(t) && len(s.own.quick) < maxTooQuick {
 			s.own.quick = append(s.own.quick, uint32(t.tag))
 		}
 		if s.silentOfLate(t) && len(s.own.silent) < maxSilent {
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -118,7 +118,7 @@
 	}
 	v.room.assessDeadline = s.now.Add(assessEvery)
 	a := v.room.admitter
-	reach := s.look()
+	reach := s.currentReach()
 	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.inTouch()}
 	if !a.Assess(s.now, view) {
 		return
@@ -157,7 +157,7 @@
 func (s *Steerer) roomOf(service string) float64 {
 	sum := 0.0
 	views := s.views(&choice{service: service})
-	reach := s.look()
+	reach := s.currentReach()
 	for _, t := range s.targets.byService[service] {
 		zone := &views[t.zone]
 		lost := t.health.unreachable() || t.health.suspect || t.toldSilent(s.now)
@@ -179,9 +179,9 @@
 	deadline timekeeper.Instant
 	// living counts the other hosts of the own zone that live as far as anybody says, heard
 	// says that one of them has reported of late, near that there are any, living or not.
-	living int
-	heard  bool
-	near   bool
+	living     int
+	heard      bool
+	neighbours bool
 	// known are the other zones of which a host has ever been heard, fresh those of which
 	// one has been of late.
 	known map[string]bool
@@ -195,10 +195,10 @@
 // inTouch reports whether this host hears enough of others to share room with them. The only
 // host of a zone sees all that the zone's callers ask; what it needs is word of other zones.
 // One that has neighbours and hears none of them may be cut off, and knows only a part.
-func (r *reach) inTouch() bool { return r.heard || (!r.near && len(r.fresh) > 0) }
+func (r *reach) inTouch() bool { return r.heard || (!r.neighbours && len(r.fresh) > 0) }
 
 // look brings up to date which hosts and zones are heard from.
-func (s *Steerer) look() *reach {
+func (s *Steerer) currentReach() *reach {
 	r := &s.reach
 	if !r.deadline.Passed(s.now) {
 		return r
@@ -213,11 +213,11 @@
 				r.fresh[p.zone] = true
 			}
 		case p.mentioned(s.now, silence):
-			r.near = true
+			r.neighbours = true
 			r.living++
 			r.heard = r.heard || p.hears(s.now)
 		default:
-			r.near = true
+			r.neighbours = true
 		}
 	}
 	return r
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -6,9 +6,9 @@
 	"cranberryspan.dev/core/throttler"
 )
 
-// shortOfRoom reports whether a service is asked for more than its targets can do. A host
+// shortOrPressed reports whether a service is asked for more than its targets can do. A host
 // that hears no other goes by its own answers.
-func (s *Steerer) shortOfRoom(service string) bool {
+func (s *Steerer) shortOrPressed(service string) bool {
 	v, ok := s.services[service]
 	if !ok {
 		return false
@@ -32,7 +32,7 @@
 		s.refuse(p, "callerQuota", field("quota", quota.String()), field("requestsPerSecond", perSecond(quota.PerSecond)))
 		return true
 	}
-	asked := throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}
+	asked := throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOrPressed(service)}
 	if verdict := s.throttler.Ask(asked, s.now); verdict.Refused {
 		s.counts.add(RefusedCallerShare)
 		s.refuse(p, "callerShare", field("service", service), field("prefix", verdict.Prefix.String()),
--- a/core/throttler/quota.go
+++ b/core/throttler/quota.go
@@ -133,15 +133,15 @@
 		}
 		b.hosts = hosts
 		part, atOnce := b.part()
-		b.limiter.SetLimitAt(clock(now), part)
-		b.limiter.SetBurstAt(clock(now), atOnce)
+		b.limiter.SetLimitAt(limiterTime(now), part)
+		b.limiter.SetBurstAt(limiterTime(now), atOnce)
 	}
 }
 
 // Exceeded returns a quota that a caller's new flow on a route would exceed.
 func (t *Throttler) Exceeded(caller netip.Addr, route string, now timekeeper.Instant) (Quota, bool) {
 	for _, b := range t.quotas {
-		if b.quota.Touches(caller, route) && b.limiter.TokensAt(clock(now)) < 1 {
+		if b.quota.Touches(caller, route) && b.limiter.TokensAt(limiterTime(now)) < 1 {
 			return b.quota, true
 		}
 	}
@@ -153,11 +153,11 @@
 func (t *Throttler) Charge(caller netip.Addr, route string, now timekeeper.Instant) {
 	for _, b := range t.quotas {
 		_, atOnce := b.part()
-		if b.quota.Touches(caller, route) && b.limiter.TokensAt(clock(now)) > -float64(atOnce) {
-			b.limiter.ReserveN(clock(now), 1)
+		if b.quota.Touches(caller, route) && b.limiter.TokensAt(limiterTime(now)) > -float64(atOnce) {
+			b.limiter.ReserveN(limiterTime(now), 1)
 		}
 	}
 }
 
 // clock turns an instant into the limiter's time, of which only differences matter.
-func clock(now timekeeper.Instant) time.Time { return time.Unix(0, int64(now)) }
+func limiterTime(now timekeeper.Instant) time.Time { return time.Unix(0, int64(now)) }
--- a/core/throttler/table.go
+++ b/core/throttler/table.go
@@ -31,11 +31,11 @@
 	// grow again.
 	growth     = 1.05
 	fewRefused = 0.02
-	// leastRefused is how many new flows a second have to be refused for shares to matter:
+	// leastRate is how many new flows a second have to be refused for shares to matter:
 	// less than one in the last few seconds.
-	leastRefused = 0.05
-	// balanceEvery is how often shares are worked out.
-	balanceEvery = 100 * time.Millisecond
+	leastRate = 0.05
+	// divideEvery is how often shares are worked out.
+	divideEvery = 100 * time.Millisecond
 )
 
 // table keeps callers by address or by prefix, in bounded memory.
@@ -106,8 +106,8 @@
 	c.changed = now
 }
 
-// balance is what the callers of a service ask for altogether, and how it is divided.
-type balance struct {
+// division is what the callers of a service ask for altogether, and how it is divided.
+type division struct {
 	// total is of all callers, unknown of those of which nothing is known.
 	total   demand
 	unknown demand
@@ -121,43 +121,43 @@
 
 // weighUnknown gives each prefix that was not there in calm times the mean weight of those
 // that were, but all together no more than all of them, however many come.
-func (b *balance) weighUnknown(prefixes *table, now timekeeper.Instant) {
+func (d *division) weighUnknown(prefixes *table, now timekeeper.Instant) {
 	known, unknown, sum := 0, 0, 0.0
 	for _, c := range prefixes.callers.Values() {
 		switch {
 		case c.known:
 			known++
 			sum += c.weight
-		case c.asked.at(now) >= leastRefused:
+		case c.asked.at(now) >= leastRate:
 			unknown++
 		}
 	}
 	most := float64(max(known, unknown, 1))
-	b.unknownWeight = max(sum/most, leastWeight)
-	b.unknownLeast = leastShare * float64(max(known, 1)) / most
+	d.unknownWeight = max(sum/most, leastWeight)
+	d.unknownLeast = leastShare * float64(max(known, 1)) / most
 }
 
 // leastOf is what a caller may have whatever its share.
-func (b *balance) leastOf(c *caller) float64 {
+func (d *division) leastOf(c *caller) float64 {
 	if c.known {
 		return leastShare
 	}
-	return b.unknownLeast
+	return d.unknownLeast
 }
 
-func (b *balance) weightOf(c *caller) float64 {
+func (d *division) weightOf(c *caller) float64 {
 	if c.known {
 		return c.weight
 	}
-	return b.unknownWeight
+	return d.unknownWeight
 }
 
 // asksForMuchMore reports whether a caller asks for much more than the others do for their
 // weight. Those of which nothing is known ask for too much together: one that changes its address
 // is a little of each of them.
-func (b *balance) asksForMuchMore(c *caller, now timekeeper.Instant) bool {
-	own := demand{asked: c.asked.at(now), weight: b.weightOf(c)}
-	return b.total.without(own).exceededBy(own) || (!c.known && b.total.without(b.unknown).exceededBy(b.unknown))
+func (d *division) asksForMuchMore(c *caller, now timekeeper.Instant) bool {
+	own := demand{asked: c.asked.at(now), weight: d.weightOf(c)}
+	return d.total.without(own).exceededBy(own) || (!c.known && d.total.without(d.unknown).exceededBy(d.unknown))
 }
 
 // demand is what callers ask for, in new flows a second, and their weight in open flows.
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -63,9 +63,9 @@
 	// prefixes answer for all other addresses of theirs.
 	addresses *table
 	prefixes  *table
-	// balance is what callers ask for, and may have, until balanceDeadline.
-	balance         balance
-	balanceDeadline timekeeper.Instant
+	// balance is what callers ask for, and may have, until divisionDeadline.
+	division         division
+	divisionDeadline timekeeper.Instant
 	// throttled counts the new flows that were refused for their callers' shares.
 	throttled meanRate
 	// calmDeadline is when weights are learned again after a shortage.
@@ -137,13 +137,13 @@
 
 // judge says whether a caller has had more than its share, and asks for much more than others.
 func (s *service) judge(c *caller, now timekeeper.Instant) Verdict {
-	if s.balanceDeadline.Passed(now) {
-		s.balance = s.weigh(now)
-		s.balanceDeadline = now.Add(balanceEvery)
+	if s.divisionDeadline.Passed(now) {
+		s.division = s.divide(now)
+		s.divisionDeadline = now.Add(divideEvery)
 	}
-	weight := s.balance.weightOf(c)
-	verdict := Verdict{Prefix: c.prefix, Had: c.passed.at(now), FairShare: s.balance.level * weight}
-	verdict.Refused = verdict.Had >= max(verdict.FairShare, s.balance.leastOf(c)) && s.balance.asksForMuchMore(c, now)
+	weight := s.division.weightOf(c)
+	verdict := Verdict{Prefix: c.prefix, Had: c.passed.at(now), FairShare: s.division.level * weight}
+	verdict.Refused = verdict.Had >= max(verdict.FairShare, s.division.leastOf(c)) && s.division.asksForMuchMore(c, now)
 	if verdict.Refused {
 		s.throttled.add(now)
 	}
@@ -152,34 +152,34 @@
 
 // weigh divides what is passed on at present among the callers. If nobody is refused,
 // there is nothing to divide. If few are refused but for a share, there may be more room.
-func (s *service) weigh(now timekeeper.Instant) balance {
-	b := balance{level: math.Inf(1)}
-	b.weighUnknown(s.prefixes, now)
+func (s *service) divide(now timekeeper.Instant) division {
+	d := division{level: math.Inf(1)}
+	d.weighUnknown(s.prefixes, now)
 	var demands []demand
 	room := 0.0
 	for _, t := range []*table{s.addresses, s.prefixes} {
 		for _, c := range t.callers.Values() {
-			one := demand{asked: c.asked.at(now), weight: b.weightOf(c)}
-			if one.asked < leastRefused {
+			one := demand{asked: c.asked.at(now), weight: d.weightOf(c)}
+			if one.asked < leastRate {
 				continue
 			}
 			demands = append(demands, one)
-			b.total.add(one)
+			d.total.add(one)
 			if !c.known {
-				b.unknown.add(one)
+				d.unknown.add(one)
 			}
 			room += c.passed.at(now)
 		}
 	}
-	refused := b.total.asked - room
-	if refused < leastRefused {
-		return b
+	refused := d.total.asked - room
+	if refused < leastRate {
+		return d
 	}
-	b.level = maxMinLevel(demands, room)
+	d.level = maxMinLevel(demands, room)
 	if refused-s.throttled.at(now) < fewRefused*room {
-		b.level *= growth
+		d.level *= growth
 	}
-	return b
+	return d
 }
 
 // Pass takes in that a caller's new flow is passed on. Its end has to be told.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -142,7 +142,7 @@
 without "copies that tell nothing of the path" steerer/path.go 'if f.copied {' 'if false {' TestCopiesOfOpeningPacketsDoNotMakeThePathSlow
 without "routes that stay as they were" steerer/reading.go 'settings = settings.keeping(s.settings)' '' TestRouteThatCannotBeReadStaysAsItWas
 without "the notice of quick answers" steerer/choosing.go 'if s.failsWork(t) {' 'if false {' TestTargetThatFailsAtOnceGetsFewFlows
-without "word of quick answers" steerer/reports.go 's.takeQuick(p, r.Quick)' '' TestQuickAnswersAreToldToTheZonesHosts
+without "word of quick answers" steerer/reports.go 's.takeTooQuick(p, r.Quick)' '' TestQuickAnswersAreToldToTheZonesHosts
 without "large links before small ones" steerer/peers.go 'return p.link > s.config.LinkBytesPerSecond' '' TestHostsWithLargeLinksRead
 without "questions for targets that are gone" steerer/asking.go 'p = s.goneInformant()' 'p = nil' TestHostThatStartsLearnsOfTargetsThatAreGone
 without "what is usual on the path" steerer/path.go 'openingGrowth*s.path.opening.median' '0' TestFarCallersDoNotMakeThePathSlow
@@ -269,13 +269,13 @@
 without "what was told before" estimator/target.go 't.all.remove(before, now)' '_ = before' TestWhatIsToldAgainCountsOnce
 without "word of the zone's hosts" estimator/target.go 't.all.add(mean, weight, now)' '' TestHostsLearnTogether
 without "the zone's part in a sample" estimator/zone.go 'return excess - z.excess' 'return excess' TestLatenessOfAllBlamesNobody
-without "the quick quarter" estimator/zone.go 'quickPart = 0.25' 'quickPart = 0.6' TestSlowHalfIsNoSlowZone
+without "the quick quarter" estimator/zone.go 'zoneQuantile = 0.25' 'zoneQuantile = 0.6' TestSlowHalfIsNoSlowZone
 without "an end of belief in a zone" estimator/zone.go '&& now.Since(one.at) < zoneMemory' '&& now.Since(one.at) < 100*zoneMemory' TestSlowZoneShowsWithinHalfASecond
 without "corrections of what waits" estimator/target.go 't.all.excess += to - from' '' TestWaitingRequestsCountBeforeTheyAreAnswered
 without "trials" estimator/trials.go 't.slow && t.all.weight < enoughSamples' 'false && t.all.weight < enoughSamples' TestTrialsFindOutWhatIsQuickAgain
 without "trials that all hosts share" estimator/trials.go 'time.Duration(max(hosts, 1)) * time.Second' 'time.Duration(max(hosts/hosts, 1)) * time.Second' TestTrialsOfAllHostsTogetherAreFew
 without "memory that ends" estimator/estimator.go 'memory = time.Second' 'memory = 20 * time.Second' 'TestTrialsFindOutWhatIsQuickAgain|TestSlowHalfGetsWhatItCanDo'
-without "the latest quick words" estimator/words.go 'w[i].deadline < w[oldest].deadline' 'w[i].deadline > w[oldest].deadline' TestTwoQuickWordsSayWhatAllSay
+without "the latest quick words" estimator/reports.go 'r[i].deadline < r[oldest].deadline' 'r[i].deadline > r[oldest].deadline' TestTwoQuickWordsSayWhatAllSay
 
 package=steerer
 without "speed in placement" steerer/choosing.go 'slowness > 0 {' 'slowness > 1000 {' 'TestSlowTargetGetsFewFlows|TestSlowZoneSpillsOver'
@@ -340,7 +340,7 @@
 without "refusals when nothing is left" steerer/admitting.go 'case nothingLeft && a.Certain():' 'case false && nothingLeft:' TestNothingLeftForReadsRefusesThemAtOnce
 without "the own window of hosts out of touch" steerer/room.go 'InTouch: reach.inTouch()}' 'InTouch: true}' TestHostOutOfTouchGoesByItsOwnWindow
 without "shares at the only host of a zone" steerer/room.go 'InTouch: reach.inTouch()}' 'InTouch: reach.heard}' TestOnlyHostOfAZoneSharesRoomWithOtherZones
-without "neighbours that are out of touch" steerer/room.go '(!r.near && len(r.fresh) > 0)' 'len(r.fresh) > 0' TestHostOutOfTouchGoesByItsOwnWindow
+without "neighbours that are out of touch" steerer/room.go '(!r.neighbours && len(r.fresh) > 0)' 'len(r.fresh) > 0' TestHostOutOfTouchGoesByItsOwnWindow
 without "demand of other zones" steerer/demands.go 'v.room.admitter.TakeZone(from.zone, demandOf(told), s.now)' '_ = demandOf(told)' TestDemandOfOtherZonesCounts
 without "demand in reports" steerer/demands.go 'if !a.Tells() {' 'if true || !a.Tells() {' TestDemandIsToldOnceItFillsHalfOfTheRoom
 without "what can't run again where nothing is left" steerer/admitting.go 'case nothingLeft && a.Certain():' 'case nothingLeft && a.Certain() && route.Kind.repeatable():' TestLowPriorityThatCantRunAgainGetsNoRoomBeforeHigherOnes
@@ -352,7 +352,7 @@
 without "first answers that count alike" steerer/usual.go 'doubtful && u.known()' 'doubtful' TestFirstAnswerInACrowdDoesNotStick
 package=steerer
 without "callers' shares" steerer/admitting.go 'if s.throttled(p, route, service) {' 'if false && s.throttled(p, route, service) {' 'TestCallerThatRepeatsWithoutPauseIsRefusedFirst|TestQuotaHoldsOverTheHostsOfAZone'
-without "shares only while room is short" steerer/throttling.go 'Short: s.shortOfRoom(service)}' 'Short: true || s.shortOfRoom(service)}' TestSharesEndWithTheShortage
+without "shares only while room is short" steerer/throttling.go 'Short: s.shortOrPressed(service)}' 'Short: true || s.shortOrPressed(service)}' TestSharesEndWithTheShortage
 without "quotas over a zone" steerer/steerer.go '	s.shareQuotas()
 ' '' TestQuotaHoldsOverTheHostsOfAZone
 without "requests of open flows in quotas" steerer/steering.go 's.chargeRequest(p, f)' '_ = p' TestRequestsOfOpenFlowsCountForAQuota
@@ -372,14 +372,14 @@
 		return leastWeight' 'TestThousandsBehindOneAddressAreNotOneCaller|TestCallersWhoAskAlikeAreServedAlike'
 without "weights that stay in a shortage" throttler/throttler.go 'return s.calmDeadline.Passed(now)' 'return true || s.calmDeadline.Passed(now)' TestAddressesThatChangeAnswerTogether
 without "prefixes of new addresses" throttler/throttler.go 'if own, ok := s.addresses.callers.Get(key); ok {' 'if own := s.addresses.at(key, now); own != nil {' 'TestAddressesThatChangeAnswerTogether|TestAddressesThatComeOnceDoNotDisplaceOthers'
-without "shares that grow again" throttler/throttler.go 'b.level *= growth' 'b.level *= 1' TestOneCallerThatRepeatsWithoutPauseLeavesRoomToTheOthers
+without "shares that grow again" throttler/throttler.go 'd.level *= growth' 'd.level *= 1' TestOneCallerThatRepeatsWithoutPauseLeavesRoomToTheOthers
 without "crowds that ask alike" throttler/table.go 'return some.asked*d.weight > muchMoreTimes*d.asked*some.weight' 'return true' TestCallersWhoComeFromElsewhereAreServedAlike
 without "unknown callers that ask for much more together" throttler/table.go '|| (!c.known &&' '|| (false && !c.known &&' TestAddressesThatComeOnceDoNotDisplaceOthers
-without "the weight of those who come from elsewhere" throttler/table.go 'b.unknownWeight = max(sum/most, leastWeight)' 'b.unknownWeight = leastWeight + 0*sum/most' TestCallersWhoComeFromElsewhereAreServedAlike
-without "room for all" throttler/throttler.go 'if refused < leastRefused {' 'if false && refused < leastRefused {' TestNobodyIsRefusedWhileAllAreServed
+without "the weight of those who come from elsewhere" throttler/table.go 'd.unknownWeight = max(sum/most, leastWeight)' 'd.unknownWeight = leastWeight + 0*sum/most' TestCallersWhoComeFromElsewhereAreServedAlike
+without "room for all" throttler/throttler.go 'if refused < leastRate {' 'if false && refused < leastRate {' TestNobodyIsRefusedWhileAllAreServed
 without "bounded services" throttler/throttler.go 'maxServices = 64' 'maxServices = 640' TestMemoryIsBounded
 without "bounded callers" throttler/throttler.go 'maxAddresses = 512' 'maxAddresses = 51200' TestMemoryIsBounded
-without "a bound on a quota's debt" throttler/quota.go '&& b.limiter.TokensAt(clock(now)) > -float64(atOnce) {' '&& atOnce > 0 {' TestRequestsOfOpenFlowsAreChargedWithinBounds
+without "a bound on a quota's debt" throttler/quota.go '&& b.limiter.TokensAt(limiterTime(now)) > -float64(atOnce) {' '&& atOnce > 0 {' TestRequestsOfOpenFlowsAreChargedWithinBounds
 without "a host's part of a quota" throttler/quota.go 'b.quota.PerSecond / float64(b.hosts)' 'b.quota.PerSecond' TestHostsOfAZoneShareAQuota
 without "quotas of a prefix" throttler/quota.go 'return !q.Prefix.IsValid() || q.Prefix.Contains(caller.Unmap())' 'return true' TestQuotasBoundThoseWhomTheyTouch
 
@@ -405,7 +405,7 @@
 	s.chargeRequest(p, f)
 ' TestPacedRequestsCountForAQuota
 without "quotas before shares" steerer/throttling.go 's.counts.add(RefusedCallerQuota)' 's.counts.add(RefusedCallerQuota)
-		s.throttler.Ask(throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}, s.now)' TestWhatAQuotaRefusesIsNoShortage
+		s.throttler.Ask(throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOrPressed(service)}, s.now)' TestWhatAQuotaRefusesIsNoShortage
 without "no trials while requests wait" steerer/estimating.go 's.service(c.service).paced > 0' 'false' TestNothingIsTriedWhileRequestsWait
 without "trials of slow targets" steerer/estimating.go 'if c.avoid != nil || ' 'if true || c.avoid != nil || ' TestSlowTargetIsTried
 without "trials that obey orders and regions" steerer/estimating.go 'case s.excluded(t, views) != notExcluded, !s.admits(t):' 'case false:' TestDrainingTargetIsNotTried
