--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -39,16 +39,16 @@
 	// hostMemory is how long a report of a host of the own zone counts: some rounds of
 	// reports, so that the mean over those that were heard rests on several.
 	hostMemory = 600 * time.Millisecond
-	// zoneMemory is the same for the word of another zone, which one host in a hundred
-	// tells in each round.
+	// zoneMemory is the same for a report from another zone, of which each host hears less
+	// often.
 	zoneMemory = 4 * time.Second
 	// leastCorrection and mostCorrection bound what waiting times may change of the room
 	// that is believed. Beyond them the estimate is wrong rather than inexact.
 	leastCorrection = 0.8
 	mostCorrection  = 1.35
-	// correctionStep is how far an answer moves the correction for each part of the
-	// callers' spare time by which its wait differs from aimedWait: with some 30 answers a
-	// second a tenth in a second, which is slower than news of demand travels.
+	// correctionStep is how far one answer moves the correction if its wait differs from
+	// aimedWait by all of the callers' spare time, and less in proportion: so little that
+	// the correction moves more slowly than news of demand travels.
 	correctionStep = 0.01
 	// settleSpan is how long after a service became short the correction doesn't fall: what
 	// got in before it was noticed still waits.
@@ -81,7 +81,7 @@
 	reportedFullness = 0.5
 )
 
-// word is what somebody has told of demand.
+// report is what another host has told of demand.
 type report struct {
 	demand Demand
 	heard  timekeeper.Instant
@@ -102,10 +102,14 @@
 
 // Admitter is what a host knows of the room of one service.
 type Admitter struct {
-	own   meter
+	own meter
+	// hosts and zones are the latest reports of other hosts of the own zone, by host, and
+	// of other zones, by zone.
 	hosts map[string]report
 	zones map[string]report
 
+	// view, demand and short are as of the last Assess; demand without the repeats of
+	// refused callers.
 	view   View
 	demand Demand
 	short  bool
@@ -118,7 +122,8 @@
 	assessed timekeeper.Instant
 
 	// wait is the mean wait of admitted requests, in parts of the callers' spare time.
-	wait       float64
+	wait float64
+	// correction is the factor by which the room differs from the slots of living targets.
 	correction float64
 	// settledDeadline is until when the correction doesn't fall.
 	settledDeadline timekeeper.Instant
@@ -132,12 +137,13 @@
 	return a
 }
 
-// AskedNew takes in that a flow opens for a request, which keeps a slot busy for so long.
+// AskedNew takes in that a flow opens for a request, which keeps a slot busy for the time
+// work.
 func (a *Admitter) AskedNew(priority int, work time.Duration, now timekeeper.Instant) {
 	a.own.addNew(level(priority), work, now)
 }
 
-// AskedOpen takes in a request of an open flow.
+// AskedOpen takes in a request of an open flow, which keeps a slot busy for the time work.
 func (a *Admitter) AskedOpen(priority int, work time.Duration, now timekeeper.Instant) {
 	a.own.addOpen(level(priority), work, now)
 }
@@ -216,6 +222,7 @@
 	}
 }
 
+// admitAll lets all new requests in.
 func (a *Admitter) admitAll() {
 	for i := range a.shares {
 		a.shares[i] = 1
@@ -315,7 +322,8 @@
 // Room is how many slots are shared out, as waiting times have corrected it.
 func (a *Admitter) Room() float64 { return a.view.Room * a.correction }
 
-// Demand is what all callers ask, as of the last Assess.
+// Demand is what all callers ask, as of the last Assess, each caller counted once however
+// often it repeats itself after a refusal.
 func (a *Admitter) Demand() Demand { return a.demand }
 
 // Share is the part of new requests of a priority that fits in.
@@ -335,7 +343,7 @@
 // Crowded reports whether admitted requests wait for longer than they should.
 func (a *Admitter) Crowded() bool { return a.wait > aimedWait }
 
-// Age is how old the oldest word is on which the demand rests.
+// Age is how old the oldest report is on which the demand rests; 0 if there is none.
 func (a *Admitter) Age(now timekeeper.Instant) time.Duration {
 	oldest := now
 	for _, r := range a.hosts {
--- a/core/admitter/demand.go
+++ b/core/admitter/demand.go
@@ -10,8 +10,8 @@
 // Levels is how many priorities are told apart; those beyond count as the last.
 const Levels = 8
 
-// meterSpan is the time constant of the mean demand. A crowd is seen by half after 0.2 s,
-// and a host with 50 requests a second is off by a quarter, a zone of hosts by less.
+// meterSpan is the time constant of the mean demand: long enough that some requests of a
+// host fall into it, short enough that a crowd shows while it begins.
 const meterSpan = 300 * time.Millisecond
 
 // Demand is what callers ask of a service, by priority, in slots that it keeps busy:
@@ -75,6 +75,7 @@
 	return d
 }
 
+// level is the index of a priority; priorities beyond Levels share the last.
 func level(priority int) int { return min(max(priority, 0), Levels-1) }
 
 // meter keeps the mean demand of a host's callers. The zero meter has seen none.
--- a/core/estimator/estimator.go
+++ b/core/estimator/estimator.go
@@ -34,28 +34,30 @@
 	// memory is the time in which a sample loses all but a third of its weight. Callers
 	// are to have a recovered target back within two seconds.
 	memory = time.Second
-	// priorSamples at the usual hold a target's mean back, and fewer of them once it has
-	// been found slow: then the trials that are left have to keep what was learned.
+	// priorSamples is how many samples at the usual count towards the mean of each target,
+	// so that one late answer makes no target slow. A slow target gets few requests, whose
+	// samples have to keep it slow: for it slowPriorSamples count.
 	priorSamples     = 4.0
 	slowPriorSamples = 1.0
-	// slowAbove is the logarithm from which a target is slow: 1.7 times the usual. Times of
-	// work that spread by half, over four samples or more, reach it by chance once in some
-	// hundred times, and a host that is itself slow tells of 1.4 times. It is quick again
-	// below quickBelow.
+	// slowAbove is the binary logarithm above which a target is slow: 1.7 times the usual,
+	// which requests that take unequally long rarely reach by chance. A slow target is usual
+	// again at quickBelow, 1.3 times: with one bound it would turn with each answer.
 	slowAbove  = 0.75
 	quickBelow = 0.4
-	// mostExcess and leastExcess bound one sample: a single answer that takes a hundred
-	// times as long is about itself.
+	// mostExcess and leastExcess bound one sample, a binary logarithm: a single answer that
+	// takes a hundred times as long says little of the next ones.
 	mostExcess  = 3.0
 	leastExcess = -1.0
-	// mostFactor bounds what is believed of a target and its zone together.
+	// mostFactor bounds what is believed of a target and its zone together, as a multiple of
+	// the usual.
 	mostFactor = 16.0
-	// negligible is a weight at which what a host has seen is forgotten.
+	// negligible is the weight, in samples, below which what was seen is forgotten.
 	negligible = 0.05
 )
 
 // Excess is the binary logarithm of a time as a multiple of what was expected: the usual
-// time for a request, times wait for what the target had under way.
+// time for a request times wait (see Wait). It is within leastExcess and mostExcess, and 0 if
+// a time is not known.
 func Excess(took, usual time.Duration, wait float64) float64 {
 	if took <= 0 || usual <= 0 {
 		return 0
@@ -65,23 +67,25 @@
 }
 
 // Wait is how many times its usual a request takes at a target that has others under way
-// when it comes: those that find no free slot are worked on one after the other.
+// when it comes, 1 at the least: requests that find no free slot wait for one.
 func Wait(underWay, slots int) float64 {
 	slots = max(slots, 1)
 	return 1 + max(float64(underWay+1-slots), 0)/float64(slots)
 }
 
-// Factor turns logarithms into a multiple of the usual.
+// Factor turns a binary logarithm into a multiple of the usual, at most mostFactor.
 func Factor(excess float64) float64 { return min(math.Exp2(excess), mostFactor) }
 
-// sum is samples that lose weight over time.
+// sum adds up samples that lose weight over time.
 type sum struct {
+	// weight is how many samples count, excess the sum of their binary logarithms.
 	weight float64
 	excess float64
-	at     timekeeper.Instant
+	// at is up to when they have lost weight.
+	at timekeeper.Instant
 }
 
-// decay brings a sum up to a moment.
+// decay takes away the weight that samples have lost up to a moment.
 func (s *sum) decay(now timekeeper.Instant) {
 	if now <= s.at {
 		return
@@ -95,14 +99,14 @@
 	s.at = now
 }
 
-// add adds samples of one mean.
+// add adds a number of samples by their mean, a binary logarithm.
 func (s *sum) add(mean, weight float64, now timekeeper.Instant) {
 	s.decay(now)
 	s.weight += weight
 	s.excess += mean * weight
 }
 
-// remove takes out what is left of a sum.
+// remove takes out what is left of a sum that was added before.
 func (s *sum) remove(other sum, now timekeeper.Instant) {
 	s.decay(now)
 	other.decay(now)
--- a/core/estimator/quick.go
+++ b/core/estimator/quick.go
@@ -8,13 +8,12 @@
 
 const (
 	// tooQuickShare is the part of a route's usual time below which an answer is quicker
-	// than work can be. Where times of work spread by half, one answer in some 300
-	// is by chance.
+	// than work can be. Requests that take unequally long rarely come below it by chance.
 	tooQuickShare = 0.25
-	// tooQuickMemory is how long a quick answer counts. Chance brings two in that time,
-	// at all hosts of a zone together, to one target in a hundred.
+	// tooQuickMemory is how long an answer that came too quickly counts: short enough that
+	// two by chance rarely meet, at all hosts of a zone together.
 	tooQuickMemory = 3 * time.Second
-	// enoughTooQuick is how many make a target one that fails its work.
+	// enoughTooQuick is how many such answers make a target one that fails its work.
 	enoughTooQuick = 2
 )
 
@@ -27,9 +26,9 @@
 // failures take less time than work, so that a target that fails looks fast. They say
 // nothing of how fast it is.
 type Failures struct {
-	// own are the last moments at which this host saw one.
+	// own is when this host saw the last ones, the latest last.
 	own [enoughTooQuick]timekeeper.Instant
-	// told is what other hosts of the zone say.
+	// told is when other hosts of the zone reported one.
 	told quickReports
 }
 
@@ -55,4 +54,5 @@
 	return count+f.told.count(now) >= enoughTooQuick
 }
 
+// recent reports whether an answer of a moment still counts; 0 means none.
 func recent(at, now timekeeper.Instant) bool { return at != 0 && now.Since(at) < tooQuickMemory }
--- a/core/estimator/reports.go
+++ b/core/estimator/reports.go
@@ -2,18 +2,18 @@
 
 import "cranberryspan.dev/core/timekeeper"
 
-// words are the latest words of different hosts that a target's answers come too
+// quickReports are the latest reports of different hosts that a target's answers come too
 // quickly. More than enoughTooQuick say no more; all of them would be memory that grows with
 // hosts times targets.
 type quickReports [enoughTooQuick]quickReport
 
-// word is one host's word, and until when it counts.
+// quickReport is which host reported it, and until when that counts.
 type quickReport struct {
 	host     string
 	deadline timekeeper.Instant
 }
 
-// add takes in a host's word, in the place of its last one or of the oldest.
+// add takes in a host's report, in the place of its last one or of the oldest.
 func (r *quickReports) add(host string, deadline timekeeper.Instant) {
 	oldest := 0
 	for i := range r {
@@ -28,7 +28,7 @@
 	r[oldest] = quickReport{host, deadline}
 }
 
-// count is how many words count still.
+// count is how many hosts' reports still count.
 func (r *quickReports) count(now timekeeper.Instant) int {
 	count := 0
 	for i := range r {
--- a/core/estimator/target.go
+++ b/core/estimator/target.go
@@ -6,31 +6,31 @@
 	"cranberryspan.dev/core/timekeeper"
 )
 
-// eighths is how finely hosts tell each other logarithms.
+// eighths is in how many steps hosts tell each other a logarithm of 1.
 const eighths = 8
 
 // Pace is what hosts tell each other of a target.
 type Pace struct {
-	// SlownessEighths is the logarithm of the target's time as a multiple of the usual,
-	// in eighths, Samples how many answers it rests on.
+	// SlownessEighths is the binary logarithm of the target's time as a multiple of the
+	// usual, in eighths, Samples how many answers it rests on.
 	SlownessEighths int8
 	Samples         uint8
 }
 
 // Target is what a host knows of how fast a target is. The zero Target knows nothing.
 type Target struct {
-	// own is what this host saw, all that and what others tell. told is what each of them
-	// told last.
+	// own adds up what this host saw, all that and what other hosts tell. told is what each
+	// of them told last, by its name.
 	own  sum
 	all  sum
 	told map[string]sum
 	slow bool
-	// factor is kept by Refresh, since a choice looks at all targets.
+	// slowness is what Slowness returns. Refresh keeps it, since a choice looks at all targets.
 	slowness  float64
 	nextTrial timekeeper.Instant
 }
 
-// Observe takes in a sample of this host, beyond what all its answers of the zone show.
+// Observe takes in a sample of this host: what Zone.Observe left of an Excess.
 func (t *Target) Observe(excess float64, now timekeeper.Instant) {
 	t.own.add(excess, 1, now)
 	t.all.add(excess, 1, now)
@@ -77,8 +77,8 @@
 	return Pace{SlownessEighths: int8(math.Round(mean * eighths)), Samples: uint8(min(samples, math.MaxUint8))}, true
 }
 
-// Refresh works out anew what is believed of the target. It reports whether that turned
-// from usual to slow or back.
+// Refresh works out anew what is believed of the target. It reports whether the target
+// turned from usual to slow or back.
 func (t *Target) Refresh(now timekeeper.Instant) bool {
 	t.own.decay(now)
 	t.all.decay(now)
@@ -102,7 +102,8 @@
 	return t.slow != before
 }
 
-// Excess is the held-back mean of all samples as of the last Refresh or sample.
+// Excess is the mean of all samples and of those at the usual that hold it back, a binary
+// logarithm, as of the last Refresh or sample.
 func (t *Target) Excess() float64 {
 	prior := priorSamples
 	if t.slow {
@@ -114,7 +115,8 @@
 // Slow reports whether the target takes markedly longer than others of its zone.
 func (t *Target) Slow() bool { return t.slow }
 
-// Slowness is the logarithm that new flows are placed by: 0 unless the target is slow.
+// Slowness is the binary logarithm that new flows are placed by: 0 unless the target is
+// slow.
 func (t *Target) Slowness() float64 { return t.slowness }
 
 // Samples returns how many recent samples the belief rests on, and how many are own.
--- a/core/estimator/trials.go
+++ b/core/estimator/trials.go
@@ -18,8 +18,10 @@
 	flowsForTrial = 16
 )
 
-// Trials bounds the flows that a host places to learn, not for the quickest answer.
+// Trials bounds the flows that a host places to learn, not for the quickest answer. The zero
+// Trials has counted none.
 type Trials struct {
+	// flows counts the new flows.
 	flows int
 }
 
@@ -34,8 +36,9 @@
 	return t.slow && t.all.weight < enoughSamples && t.nextTrial.Passed(now)
 }
 
-// SetTrial sets when this host, one of some in the zone, tries the target next. Chance is
-// between 0 and 1, and keeps hosts that learned of it together from trying together.
+// SetTrial sets when this host, one of so many in the zone, may try the target next. Chance
+// is a random number between 0 and 1: without it hosts that learned at the same moment that
+// the target is slow would try it at the same moment.
 func (t *Target) SetTrial(hosts int, chance float64, now timekeeper.Instant) {
 	pause := time.Duration(max(hosts, 1)) * time.Second / trialsPerSecond
 	t.nextTrial = now.Add(time.Duration(2 * chance * float64(pause)))
--- a/core/estimator/zone.go
+++ b/core/estimator/zone.go
@@ -16,8 +16,8 @@
 	zoneMemory = 2 * time.Second
 	// leastZoneSamples are needed to believe anything of a zone.
 	leastZoneSamples = 3
-	// zoneQuantile of the samples are quicker than what is taken for the zone's own speed:
-	// it stays where it is as long as a quarter of the work meets quick targets.
+	// zoneQuantile is the part of the samples that is quicker than what is taken for the
+	// zone's own: a zone is slow only if less than a quarter of its work is quick.
 	zoneQuantile = 0.25
 )
 
@@ -26,18 +26,19 @@
 type Zone struct {
 	samples [zoneSamples]zoneSample
 	next    int
-	// excess and known are kept by Refresh.
+	// excess, known and idle are what Excess, Known and Idle return. Refresh keeps them.
 	excess float64
 	known  bool
 	idle   bool
 }
 
+// zoneSample is a binary logarithm, and when it came; none if that is 0.
 type zoneSample struct {
 	excess float64
 	at     timekeeper.Instant
 }
 
-// Observe takes in a sample, and returns what is beyond the zone's own.
+// Observe takes in a sample, an Excess, and returns by how much it is above the zone's own.
 func (z *Zone) Observe(excess float64, now timekeeper.Instant) float64 {
 	z.samples[z.next] = zoneSample{excess, now}
 	z.next = (z.next + 1) % zoneSamples
@@ -76,7 +77,7 @@
 	z.excess = max(recent[int(zoneQuantile*float64(count))], 0)
 }
 
-// Excess is the logarithm of the zone's time for a request as a multiple of the usual: 0
+// Excess is the binary logarithm of the zone's time for a request as a multiple of the usual: 0
 // unless even its quick answers take longer than usual.
 func (z *Zone) Excess() float64 { return z.excess }
 
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -3,14 +3,16 @@
 import "fmt"
 
 const (
-	// maxWaitingShare is the part of a host's window that may wait while the fleet has room.
+	// maxWaitingShare is the part of a host's window, the requests that it may have under
+	// way, that may wait while the fleet has room.
 	maxWaitingShare = 0.25
-	// slowerTimes is how many times as long as another a target takes that is slower by more
-	// than chance.
+	// slowerTimes is how many times as long as another a target has to take to count as
+	// slower: more than chance makes of equal ones.
 	slowerTimes = 1.5
 )
 
-// short reports whether a service is asked for more than it has room for.
+// short reports whether a service is asked for more than it has room for, as far as the
+// demand of all hosts is known. See shortOrPressed for hosts that know only their own.
 func (s *Steerer) short(service string) bool {
 	v, ok := s.services[service]
 	return ok && v.room.admitter.Short()
@@ -21,7 +23,7 @@
 
 const (
 	notRefused refusal = iota
-	// refusedNoRoom flows have no part in the room that all hosts share.
+	// refusedNoRoom flows do not fit into the room that all hosts share.
 	refusedNoRoom
 	// refusedOverload flows would wait behind others at this host.
 	refusedOverload
@@ -75,19 +77,18 @@
 	return v.load.Pressed() && s.waitingBeside(v, to) > 0
 }
 
-// wouldBeLate reports whether as many requests wait at this host as a quarter of what it may
-// have under way. The request of a new flow would wait for a quarter of the time of an
-// answer then. Fewer are the unevenness of the moment: while the fleet has room they are no
-// ground to refuse anybody.
+// wouldBeLate reports whether maxWaitingShare of the host's window wait at this host. The
+// request of a new flow would wait for as large a part of the time of an answer then. Fewer
+// wait by chance, for a moment: while the fleet has room they are no reason to refuse anybody.
 func (s *Steerer) wouldBeLate(v *service, to *target) bool {
 	return v.load.Pressed() && float64(s.waitingBeside(v, to)) >= maxWaitingShare*v.load.Window()
 }
 
 // waitingBeside counts the requests that wait at this host for targets that are no slower
-// than one.
+// than a given one.
 //
 // What goes wrong if all count: some targets turn slow, and the requests of the flows that
-// are open there wait. New flows would go to quick targets with slots free, and are refused.
+// are open there wait. New flows are refused that would go to quick targets with slots free.
 func (s *Steerer) waitingBeside(v *service, to *target) int {
 	waiting := 0
 	most := slowerTimes * s.slowness(to)
@@ -115,6 +116,7 @@
 		field("share", fmt.Sprintf("%.2f", a.Share(route.Priority))), field("demandAgeMillis", millis(a.Age(s.now))))
 }
 
+// slotsText writes a number of slots for logs.
 func slotsText(slots float64) string { return fmt.Sprintf("%.1f", slots) }
 
 // noteAsked takes in that a request begins in an open flow. The first request of a flow
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -19,8 +19,8 @@
 	// warmingLoad multiplies the load of a target that has just started. Such
 	// targets take about 1.6 times as long.
 	warmingLoad = 1.6
-	// maxSlowLoad bounds what is added for a target that takes longer than usual: less than
-	// doubtedLoad, since a slow target answers.
+	// maxSlowLoad bounds what is added for a target that takes longer than usual, in requests
+	// a slot: less than doubtedLoad, since a slow target answers.
 	maxSlowLoad = 8
 	// failsWorkLoad is added to the load of a target that fails its work, in requests a slot:
 	// it gets flows only when its siblings are busy, so a false alarm costs little.
@@ -59,7 +59,7 @@
 	evacuated  bool
 	lastResort bool
 	doubted    bool
-	// slowness is the logarithm of the time that the service takes there, as a multiple of
+	// slowness is the binary logarithm of the time that the service takes there, as a multiple of
 	// the usual.
 	slowness float64
 }
--- a/core/steerer/counts.go
+++ b/core/steerer/counts.go
@@ -36,11 +36,11 @@
 	// RefusedNoRoom counts those of the refused flows for which there was no room,
 	// RefusedOverload those that would have waited behind others at this host.
 	RefusedNoRoom
+	RefusedOverload
 	// RefusedFull counts flows that were refused because all targets are full, SentOn those
 	// that this host sent on because a target did not take them.
 	RefusedFull
 	SentOn
-	RefusedOverload
 	// DropStale counts packets that came while this host stood still.
 	DropStale
 	// StoreRestored counts restores of the platform's store that this host has learned of.
@@ -49,7 +49,7 @@
 	// target to learn whether it is quick again.
 	TargetSlow
 	TrialFlow
-	// RefusedCallerShare and RefusedCallerQuota count those of the flows refused whose
+	// RefusedCallerShare and RefusedCallerQuota count those of the refused flows whose
 	// caller had more than its share of a service short of room, or had used up a quota.
 	RefusedCallerShare
 	RefusedCallerQuota
@@ -58,6 +58,7 @@
 
 func (c Count) String() string { return countNames[c] }
 
+// countNames are the counts' names in metrics.
 var countNames = [numCounts]string{
 	DropUnknowing:      "dropUnknowing",
 	DropUnknownTag:     "dropUnknownTag",
@@ -73,9 +74,9 @@
 	TargetMalformed:    "targetMalformed",
 	RequestPaced:       "requestPaced",
 	RefusedNoRoom:      "refusedNoRoom",
+	RefusedOverload:    "refusedOverload",
 	RefusedFull:        "refusedFull",
 	SentOn:             "sentOn",
-	RefusedOverload:    "refusedOverload",
 	DropStale:          "dropStale",
 	StoreRestored:      "storeRestored",
 	TargetSlow:         "targetSlow",
--- a/core/steerer/demands.go
+++ b/core/steerer/demands.go
@@ -5,8 +5,13 @@
 	"cranberryspan.dev/core/messenger"
 )
 
-// maxDemands bounds the services of a report, so that it fits a datagram.
-const maxDemands = 8
+const (
+	// maxDemands bounds the services of a report, so that it fits a datagram.
+	maxDemands = 8
+	// milliSlots is how many parts of a slot reports tell apart. Less than one of them is
+	// left out.
+	milliSlots = 1000
+)
 
 // addDemands writes into a report what callers ask of the services that may run short.
 func (s *Steerer) addDemands(r *messenger.Report, to *peer) {
@@ -24,17 +29,18 @@
 	}
 }
 
-// openLevel marks what open flows ask: their priority p is told as -1-p.
+// openLevel turns a priority p of open flows into the number under which it is told, -1-p,
+// and such a number back.
 func openLevel(level int) int { return -1 - level }
 
-// toldDemand writes a demand for a report. Where nothing is asked, it says so: who hears it
-// counts the sender as a host without callers, and an entry with nothing on demand is one
-// that tells only of flows.
+// toldDemand writes a demand for a report. Where nothing is asked, it writes a demand of 0:
+// whoever hears it counts the sender as a host without callers. An entry without any demand
+// would be one that tells only of flows.
 func toldDemand(service string, demand admitter.Demand) messenger.ServiceDemand {
 	told := messenger.ServiceDemand{Service: service}
 	add := func(priority int, slots float64) {
-		if slots >= 0.001 {
-			told.Asked = append(told.Asked, messenger.PriorityDemand{Priority: priority, MilliSlots: uint32(slots * 1000)})
+		if slots >= 1.0/milliSlots {
+			told.Asked = append(told.Asked, messenger.PriorityDemand{Priority: priority, MilliSlots: uint32(slots * milliSlots)})
 		}
 	}
 	for level := range admitter.Levels {
@@ -51,7 +57,7 @@
 func demandOf(told messenger.ServiceDemand) admitter.Demand {
 	var demand admitter.Demand
 	for _, asked := range told.Asked {
-		slots := float64(asked.MilliSlots) / 1000
+		slots := float64(asked.MilliSlots) / milliSlots
 		if asked.Priority < 0 {
 			demand.Open[min(openLevel(asked.Priority), admitter.Levels-1)] += slots
 		} else {
@@ -62,7 +68,7 @@
 }
 
 // takeDemands takes in what a report tells of demand. Services that nobody lists are left
-// out, so that no word makes this host keep them, and so are entries that tell only of
+// out, so that no report makes this host keep them, and so are entries that tell only of
 // flows: their sender says nothing of demand, not that there is none.
 func (s *Steerer) takeDemands(r *messenger.Report, from *peer) {
 	near := from.zone == s.config.AvailabilityZone
--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -14,19 +14,19 @@
 	// uploadPause is how long a caller on a slow link may pause between two packets of an
 	// upload, repeats of lost ones included, before its request may count as overdue.
 	uploadPause = time.Second
-	// overdueTimes times what is expected is how long a request waits before that says
-	// something of its target: by chance one in some twenty takes so long.
+	// overdueTimes is how many times as long as expected a request waits before that says
+	// something of its target: few take so long by chance.
 	overdueTimes = 3
-	// maxTooQuick bounds the targets that a report names as failing their work, maxPaces
-	// those whose speed it tells.
+	// maxTooQuick bounds the targets that a report names as answering too quickly for work,
+	// maxPaces those whose speed it tells, so that it fits a datagram.
 	maxTooQuick = 32
 	maxPaces    = 32
-	// slowZone is the logarithm by which a zone's answers take longer than another's before
-	// the zone counts as slow: 1.4 times.
+	// slowZone is the binary logarithm by which a zone's answers take longer than another's
+	// before the zone counts as slow: 1.4 times.
 	slowZone = 0.5
-	// verySlowZone is the logarithm from which it is slow whatever others are: 2.8 times. In
-	// a crowd a host does not know of all that is under way, and answers take up to twice
-	// as long as what it does know explains.
+	// verySlowZone is the binary logarithm above which it is slow whatever other zones are:
+	// 2.8 times the usual. It is more than slowZone, since in a crowd a host does not know
+	// of all that is under way, and answers take longer than what it does know explains.
 	verySlowZone = 1.5
 )
 
@@ -38,16 +38,18 @@
 
 // estimating is what a host knows of how fast targets are, beside what is kept with each.
 type estimating struct {
+	// zones is how fast each zone of a service is, of those from which answers came of late.
 	zones map[serviceZone]*estimator.Zone
 	// active are the targets of which something is known, the longest known first.
 	active []*target
-	// turn is from where the reports of a round tell of them; the next round, after
-	// turnDeadline, tells of those from nextTurn on.
+	// turn is the index of the first of them of which the reports of a round tell; the next
+	// round, after turnDeadline, begins with nextTurn.
 	turn         int
 	nextTurn     int
 	turnDeadline timekeeper.Instant
-	// overdue are requests that may wait for longer than expected, in no order of their
-	// deadlines: those of routes with long requests must not hold up the others.
+	// overdue are the requests to check for whether they wait for longer than expected, in
+	// no order of their deadlines: those of routes with long requests must not hold up the
+	// others.
 	overdue []flowCheck
 }
 
@@ -62,7 +64,7 @@
 	return z
 }
 
-// zoneExcess is the logarithm of the time that a service takes in a zone, as a multiple of
+// zoneExcess is the binary logarithm of the time that a service takes in a zone, as a multiple of
 // the usual; 0 if nothing is known.
 func (s *Steerer) zoneExcess(service, zone string) float64 {
 	if z, ok := s.estimating.zones[serviceZone{service, zone}]; ok {
@@ -136,8 +138,9 @@
 	s.estimating.overdue = kept
 }
 
-// learnSpeed learns from the time that a request took, or has been waiting for. Cold
-// targets are known to be slow, and what this host held up says nothing.
+// learnSpeed learns from the time that a request took, or has been waiting for, about its
+// target and the target's zone. Cold targets are known to be slow, and answers that were late
+// because this host stood still say nothing.
 func (s *Steerer) learnSpeed(f *flow, took time.Duration) {
 	t := f.target
 	if f.expected == 0 || !s.pause.trustDeadline.Passed(s.now) || s.cold(t) {
@@ -155,7 +158,8 @@
 	s.refreshSpeed(t, "own")
 }
 
-// refreshSpeed works out anew what is believed of a target.
+// refreshSpeed works out anew what is believed of a target. Cause is, for the log, whose
+// samples it rests on: "own", the name of another host, or "age".
 func (s *Steerer) refreshSpeed(t *target, cause string) {
 	if !t.estimated {
 		t.estimated = true
@@ -176,7 +180,7 @@
 		field("own", fmt.Sprintf("%.1f", own)), field("cause", cause))
 }
 
-// estimatingTick lets what is known grow old.
+// estimatingTick forgets what is too old to count.
 func (s *Steerer) estimatingTick() {
 	s.checkOverdue()
 	maps.DeleteFunc(s.estimating.zones, func(_ serviceZone, z *estimator.Zone) bool {
@@ -197,11 +201,13 @@
 }
 
 // trial picks a slow target that a new flow should go to, so that one that is quick again
-// is found out; nil if none is due. It may also lift what is believed of slow zones.
+// is found out; nil if none is due. Then it may leave out of views what is believed of slow
+// zones, so that the flow may go to one of them.
 //
 // What goes wrong without trials: a slow target gets no flows, so nobody learns that it has
-// recovered. And what goes wrong if it is merely forgotten to be slow: all hosts of the
-// zone do so in the same moment, and it gets a queue of callers before the first answer.
+// recovered. And what goes wrong if hosts merely forget after a time that it was slow: all
+// hosts of the zone do so at the same moment, and it gets a queue of callers before the first
+// answer.
 //
 // Nothing is tried while requests of the service wait here: some may wait for the slow
 // target, and the new flow would be refused on their account though quick targets idle.
@@ -276,7 +282,8 @@
 	u.sent.add(worked, doubtful)
 }
 
-// answersSlowly reports whether a target's answers say little of what is usual.
+// answersSlowly reports whether a target or its zone is slow, so that its answers say little
+// of what is usual.
 //
 // What goes wrong otherwise: half of the targets turn slow, within seconds that counts as
 // usual, and nobody avoids them any more.
@@ -307,7 +314,7 @@
 	return t.failures.Enough(s.now) && !s.pressed(t.Service)
 }
 
-// takeTooQuick takes in whose quick answers another host of the zone saw.
+// takeTooQuick takes in which targets another host of the zone saw answer too quickly.
 func (s *Steerer) takeTooQuick(from *peer, tags []uint32) {
 	for _, tag := range tags {
 		if t, ok := s.told(from, tag); ok {
@@ -316,7 +323,7 @@
 	}
 }
 
-// tooQuickOfLate reports whether this host saw quick answers of a target of late.
+// tooQuickOfLate reports whether this host saw a target answer too quickly of late.
 func (s *Steerer) tooQuickOfLate(t *target) bool { return t.failures.Recent(s.now) }
 
 // takePaces takes in how fast another host of the zone finds targets.
@@ -329,10 +336,11 @@
 	}
 }
 
-// paces lists how fast the targets are that stand out, others each round if they are many.
+// paces lists how fast the targets are that stand out, at most maxPaces: if there are more,
+// each round tells of the next ones.
 //
-// What goes wrong if they change with each report: a round has as many reports as there are
-// parts of the list, and each recipient hears of the same part for ever.
+// What goes wrong if each report tells of the next ones: where a round has as many reports as
+// the list has parts, each recipient hears of the same part for ever.
 func (s *Steerer) paces() []messenger.TargetPace {
 	var paces []messenger.TargetPace
 	active := s.estimating.active
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -86,10 +86,11 @@
 	nextDeadline timekeeper.Instant
 	// flowsTurn is where its next report begins among the targets of whose flows it is told.
 	flowsTurn int
-	// hash orders hosts whose links are equal.
+	// hash, of the name, orders hosts whose links are equal.
 	hash uint64
+	// busy counts the host's requests under way, by the target's tag.
 	busy map[uint32]uint16
-	// recent and loaded say that the host stands in those lists.
+	// recent and loaded say that the host is in peers.recent and peers.loaded.
 	recent bool
 	loaded bool
 	// version and position are what the host had in force at its last report,
@@ -113,11 +114,11 @@
 	// recent are the hosts that reported within peerSilence, a few of a large fleet, in the
 	// order of their names.
 	recent []*peer
-	// loaded are the hosts whose load counts.
+	// loaded are the hosts whose requests under way count in the load of targets.
 	loaded []*peer
 	// sweepDeadline is when hosts that fell silent are next looked for.
 	sweepDeadline timekeeper.Instant
-	// zoneEpoch is the epoch of zones of which the warmer knows.
+	// zoneEpoch is zones.epoch as of when the warmer was last told of hosts.
 	zoneEpoch uint64
 	// news asks for a report at once.
 	news    bool
--- a/core/steerer/peerzones.go
+++ b/core/steerer/peerzones.go
@@ -12,7 +12,7 @@
 // order of their names.
 type peerZones struct {
 	byZone map[string][]*peer
-	// epoch counts the changes.
+	// epoch counts the changes: hosts that come, go, change their zone, or are about to end.
 	epoch uint64
 }
 
@@ -23,8 +23,8 @@
 // of lists the hosts of a zone.
 func (z *peerZones) of(zone string) []*peer { return z.byZone[zone] }
 
-// live counts the hosts of a zone that live as far as anybody says, if they are silent for
-// less than a time.
+// live counts the hosts of a zone that live as far as anybody says: those that have not been
+// silent for longer than a time.
 func (z *peerZones) live(zone string, now timekeeper.Instant, silence time.Duration) int {
 	count := 0
 	for _, p := range z.of(zone) {
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// takeState takes in what another host says of a target, in some era. What it saw before a restore of
-// the platform never wins over a list from after it.
+// takeState takes in what another host says of a target, in some era. What it saw before a
+// restore of the platform never wins over a list from after it.
 func (s *Steerer) takeState(state messenger.TargetState, era uint64, from string) {
 	seen := sequencer.At(era, state.Seen)
 	if seen.Era < s.targetsPosition.Era {
@@ -365,6 +365,8 @@
 
 // ownNews is what a host tells the others of its zone of the targets.
 type ownNews struct {
+	// busy counts requests under way by the target's tag; quick and silent are the tags of
+	// targets that answered too quickly, or were silent, of late.
 	busy   map[uint32]uint16
 	quick  []uint32
 	silent []uint32
@@ -395,9 +397,9 @@
 
 // state writes a target for a message, as of the era of this host's list.
 //
-// A host that has not yet the list of a new era may have heard of a change in it, and tells
-// that as of its own position: all that it tells is of one era, and gives way to any list of
-// the new one.
+// A host may have heard of a change in a new era before it has the list of that era. It tells
+// the change as of its own position: all that it tells is of one era, and gives way to any
+// list of the new one.
 func (s *Steerer) state(t *target) messenger.TargetState {
 	seen := t.seen
 	if seen.Era > s.targetsPosition.Era {
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -22,16 +22,16 @@
 // room is what a host knows of the room of a service.
 type room struct {
 	admitter *admitter.Admitter
-	// assessDeadline is when the view is next to be made anew.
+	// assessDeadline is when the view has to be made anew.
 	assessDeadline timekeeper.Instant
 	// opening is the usual time until a flow opens: what answers take besides work.
 	opening usualTime
-	// work holds the usual time of work, by route: the median, with what requests wait on
-	// calm days, is close to the mean of the work alone. The same answers teach
-	// Steerer.usual, which differs: it holds what callers wait for in all, with the way, and
-	// goes on learning where more than half of the room is asked for, since lateness is
-	// measured against it. A time of work that took in the waits of a crowd would make the
-	// crowd look larger still.
+	// work holds the usual time of work, by route: the median of times that contain what
+	// requests wait on calm days, which is close to the mean of the work alone. Steerer.usual learns from the same answers
+	// and differs: it holds all that callers wait for, with the time on the way, and goes on
+	// learning where more than half of the room is asked for, since lateness is measured
+	// against it. A time of work that took in the waits of a crowd would make the crowd look
+	// larger still.
 	work map[string]*usualTime
 	// anyWork is that time over all routes whose callers wait for longer than work takes.
 	anyWork usualTime
@@ -44,7 +44,7 @@
 	}
 }
 
-// work is for how long a request of a route keeps a slot busy on average; 0 if unknown.
+// work is how long a request of a route keeps a slot busy on average; 0 if unknown.
 // What an answer takes on its way is what a flow takes to open.
 //
 // What goes wrong if a route of which little is known counts as nothing: its callers take
@@ -173,12 +173,14 @@
 	return sum
 }
 
-// reach is which hosts and zones are heard from. All services share it: looking at each
-// host for each of them would cost most of what admission costs.
+// reach is which hosts and zones are heard from, as of some moment before deadline. All
+// services share it: looking at each host for each of them would cost most of what admission
+// costs.
 type reach struct {
 	deadline timekeeper.Instant
 	// living counts the other hosts of the own zone that live as far as anybody says, heard
-	// says that one of them has reported of late, near that there are any, living or not.
+	// says that one of them has reported of late, neighbours that any are known, living or
+	// not.
 	living     int
 	heard      bool
 	neighbours bool
@@ -197,7 +199,7 @@
 // One that has neighbours and hears none of them may be cut off, and knows only a part.
 func (r *reach) inTouch() bool { return r.heard || (!r.neighbours && len(r.fresh) > 0) }
 
-// look brings up to date which hosts and zones are heard from.
+// currentReach brings up to date which hosts and zones are heard from.
 func (s *Steerer) currentReach() *reach {
 	r := &s.reach
 	if !r.deadline.Passed(s.now) {
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -7,7 +7,7 @@
 )
 
 // shortOrPressed reports whether a service is asked for more than its targets can do. A host
-// that hears no other goes by its own answers.
+// that hears no other does not know the demand (see short) and goes by its own answers.
 func (s *Steerer) shortOrPressed(service string) bool {
 	v, ok := s.services[service]
 	if !ok {
@@ -52,10 +52,11 @@
 	s.throttler.Pass(throttler.Request{Caller: key.caller.Addr(), Service: f.countedFor.name}, s.now)
 }
 
-// noteEnded takes the flow back, once.
+// noteEnded counts the end of a flow for its caller, once.
 //
-// What goes wrong if the target's service counts: the flow, or its target, has gone to
-// another service meanwhile, and its caller weighs for good as much as with the flow open.
+// What goes wrong if it counts for the service of the flow's target: the flow, or its target,
+// has gone to another service meanwhile, and at the first its caller keeps the weight of an
+// open flow for good.
 func (s *Steerer) noteEnded(key flowKey, f *flow) {
 	if f.countedFor == nil {
 		return
--- a/core/steerer/usual.go
+++ b/core/steerer/usual.go
@@ -15,8 +15,7 @@
 	// the ordinary ones after it look quick.
 	usualStep = 0.003
 	// doubtfulStep is that part while a service is asked for more than it can do, or if the
-	// target is slow. At 50 answers a second an overload of 6 s moves the estimate by a
-	// tenth at the most.
+	// target is slow: an overload of some seconds moves the estimate by a tenth at the most.
 	doubtfulStep = usualStep / 10
 	// shortestUsual keeps the estimate from zero, from which no step leads away.
 	shortestUsual = 100 * time.Microsecond
@@ -25,7 +24,8 @@
 // usualTime estimates the median of times that come one after another: until a
 // route's answers, or until flows open.
 type usualTime struct {
-	median  time.Duration
+	median time.Duration
+	// samples counts the times that came.
 	samples int
 	// sent estimates the same from the end of a request on, for a route's answers; nil for
 	// other times.
--- a/core/throttler/quota.go
+++ b/core/throttler/quota.go
@@ -48,7 +48,8 @@
 	RequestsPerSecond float64 `yaml:"requestsPerSecond"`
 }
 
-// ParseQuotas checks quotas as operators write them.
+// ParseQuotas checks quotas as operators write them. Its errors are of type Error; they name
+// the quota by its index.
 func ParseQuotas(texts []QuotaText) ([]Quota, error) {
 	quotas := make([]Quota, 0, len(texts))
 	seen := map[Quota]int{}
@@ -67,6 +68,7 @@
 	return quotas, nil
 }
 
+// parse checks one quota.
 func (t QuotaText) parse() (Quota, error) {
 	q := Quota{Route: t.Route, PerSecond: t.RequestsPerSecond}
 	if t.Prefix == "" && t.Route == "" {
@@ -106,7 +108,7 @@
 type bucket struct {
 	quota   Quota
 	limiter *rate.Limiter
-	// hosts is by how many hosts the quota is divided.
+	// hosts is how many hosts the quota is divided by.
 	hosts int
 }
 
@@ -116,7 +118,8 @@
 	return b
 }
 
-// part is the host's part of the quota, and how many requests may come at once.
+// part is the host's part of the quota, in requests a second, and how many requests may come
+// at once.
 func (b *bucket) part() (perSecond rate.Limit, atOnce int) {
 	part := b.quota.PerSecond / float64(b.hosts)
 	return rate.Limit(part), max(int(math.Ceil(part)), 1)
@@ -159,5 +162,5 @@
 	}
 }
 
-// clock turns an instant into the limiter's time, of which only differences matter.
+// limiterTime turns an instant into the limiter's time, of which only differences matter.
 func limiterTime(now timekeeper.Instant) time.Time { return time.Unix(0, int64(now)) }
--- a/core/throttler/table.go
+++ b/core/throttler/table.go
@@ -14,14 +14,14 @@
 	// rateSpan is the time over which rates are means: long enough that a person's few
 	// requests in a row are no excess.
 	rateSpan = 2 * time.Second
-	// weightSpan is the time over which weights are learned. A loop that runs into a
-	// shortage is noticed within a second or two, a fifth of it.
+	// weightSpan is the time over which weights are learned: much longer than it takes to
+	// notice a shortage, so that a caller that causes one gains little weight before.
 	weightSpan = 10 * time.Second
-	// leastWeight is the weight of an address of which nothing is known, in open flows. A
-	// host of a larger fleet sees only a part of each caller's.
+	// leastWeight is the least weight of an address, in open flows: far below one, since a
+	// host of a larger fleet sees only a part of each caller's flows.
 	leastWeight = 0.02
-	// leastShare is what each caller may have whatever its share, in new flows a second:
-	// a person who asks again and again.
+	// leastShare is what each caller may have whatever its share, in new flows a second: as
+	// much as a person who asks again and again.
 	leastShare = 2
 	// muchMoreTimes times what others ask for their weight is much more. Whoever asks two or
 	// three times as often as usual, as all do in a crowd, does not.
@@ -31,10 +31,10 @@
 	// grow again.
 	growth     = 1.05
 	fewRefused = 0.02
-	// leastRate is how many new flows a second have to be refused for shares to matter:
-	// less than one in the last few seconds.
+	// leastRate is the rate, in new flows a second, below which a caller that asks counts as
+	// none and refusals count as none: less than one in the last few seconds.
 	leastRate = 0.05
-	// divideEvery is how often shares are worked out.
+	// divideEvery is how often the callers' shares are worked out.
 	divideEvery = 100 * time.Millisecond
 )
 
@@ -46,7 +46,7 @@
 // caller is what is kept of an address, or of a prefix.
 type caller struct {
 	prefix netip.Prefix
-	// asked and passed count new flows that were asked for and passed on.
+	// asked and passed are the rates of new flows that were asked for and passed on.
 	asked  meanRate
 	passed meanRate
 	// open is how many flows are open since changed, weight the mean of it in calm times.
@@ -57,6 +57,7 @@
 	known bool
 }
 
+// newTable makes a table that keeps up to size callers.
 func newTable(size int) *table {
 	callers, err := lru.New2Q[netip.Prefix, *caller](size)
 	if err != nil {
@@ -65,7 +66,7 @@
 	return &table{callers: callers}
 }
 
-// at returns what is kept of a caller.
+// at returns what is kept of a caller, from now on if nothing was.
 func (t *table) at(prefix netip.Prefix, now timekeeper.Instant) *caller {
 	if c, ok := t.callers.Get(prefix); ok {
 		return c
@@ -145,6 +146,7 @@
 	return d.unknownLeast
 }
 
+// weightOf is a caller's weight, in open flows.
 func (d *division) weightOf(c *caller) float64 {
 	if c.known {
 		return c.weight
@@ -153,8 +155,8 @@
 }
 
 // asksForMuchMore reports whether a caller asks for much more than the others do for their
-// weight. Those of which nothing is known ask for too much together: one that changes its address
-// is a little of each of them.
+// weight. Those of which nothing is known are judged together as well: a caller that changes
+// its address asks little from each of them.
 func (d *division) asksForMuchMore(c *caller, now timekeeper.Instant) bool {
 	own := demand{asked: c.asked.at(now), weight: d.weightOf(c)}
 	return d.total.without(own).exceededBy(own) || (!c.known && d.total.without(d.unknown).exceededBy(d.unknown))
@@ -208,14 +210,17 @@
 
 // meanRate is an exponentially weighted mean of events a second.
 type meanRate struct {
+	// value is the mean as of since.
 	value float64
 	since timekeeper.Instant
 }
 
+// at is the mean as of now.
 func (r *meanRate) at(now timekeeper.Instant) float64 {
 	return r.value * math.Exp(-float64(now.Since(r.since))/float64(rateSpan))
 }
 
+// add counts an event.
 func (r *meanRate) add(now timekeeper.Instant) {
 	r.value = r.at(now) + 1/rateSpan.Seconds()
 	r.since = now
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -35,9 +35,9 @@
 )
 
 const (
-	// maxAddresses and maxPrefixes bound the callers that are kept of a service, to some
-	// 0.2 MB: a host of a large fleet sees a few dozen new flows a second. A caller beyond
-	// them is forgotten, which refuses nobody.
+	// maxAddresses and maxPrefixes bound the callers that are kept of a service, and so the
+	// memory that an attacker can fill. A caller beyond them is forgotten, which refuses
+	// nobody.
 	maxAddresses = 512
 	maxPrefixes  = 128
 	// maxServices bounds the services that are kept.
@@ -63,10 +63,10 @@
 	// prefixes answer for all other addresses of theirs.
 	addresses *table
 	prefixes  *table
-	// balance is what callers ask for, and may have, until divisionDeadline.
+	// division is what callers ask for, and may have, until divisionDeadline.
 	division         division
 	divisionDeadline timekeeper.Instant
-	// throttled counts the new flows that were refused for their callers' shares.
+	// throttled is the rate of new flows that were refused for their callers' shares.
 	throttled meanRate
 	// calmDeadline is when weights are learned again after a shortage.
 	calmDeadline timekeeper.Instant
@@ -150,8 +150,8 @@
 	return verdict
 }
 
-// weigh divides what is passed on at present among the callers. If nobody is refused,
-// there is nothing to divide. If few are refused but for a share, there may be more room.
+// divide shares out what is passed on at present among the callers. If nobody is refused,
+// there is nothing to divide. If few are refused but for their shares, there may be more room.
 func (s *service) divide(now timekeeper.Instant) division {
 	d := division{level: math.Inf(1)}
 	d.weighUnknown(s.prefixes, now)
