--- a/balancer/internal/configurer/flows.go
+++ b/balancer/internal/configurer/flows.go
@@ -88,7 +88,7 @@
 	// ColdAllowance more, is what it bears in any one second.
 	ColdOverage   float64
 	ColdAllowance float64
-	// Quotas bound the requests of some callers.
+	// Quotas bound the requests of some callers, over all hosts of this host's zone together.
 	Quotas []throttler.Quota
 }
 
--- a/balancer/internal/exchanger/exchanger_test.go
+++ b/balancer/internal/exchanger/exchanger_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// freeAddress is an address of this machine that nobody listens on.
+// freeAddress is an address of this host that nobody listens on.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/balancer/internal/flowrunner/flowrunner.go
+++ b/balancer/internal/flowrunner/flowrunner.go
@@ -134,7 +134,7 @@
 	return r, nil
 }
 
-// now is the host's clock. It counts the time for which the machine was suspended,
+// now is the host's clock. It counts the time for which the host was suspended,
 // which the usual monotonic clock leaves out: a host that wakes must know that
 // what it learned before is old. It starts above zero, since zero stands for no
 // deadline.
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -77,8 +77,8 @@
 
 func cube(x float64) float64 { return x * x * x }
 
-// Symptom: of a share of a half ten requests in a row get in, and queues fill. Cause:
-// dice.
+// Symptom: of a share of a half ten requests in a row get in, and queues fill. Cause: each
+// request is let in at random.
 func TestSharesAreTakenEvenlyInTime(t *testing.T) {
 	var demand admitter.Demand
 	demand.New[2] = 150
@@ -93,7 +93,7 @@
 	}
 }
 
-// Symptom: a report of old decides. Sequence: a zone is heard of once. Cause: words that
+// Symptom: an old report decides. Sequence: a zone is heard of once. Cause: reports that
 // don't age.
 func TestWordsAge(t *testing.T) {
 	var demand admitter.Demand
--- a/core/admitter/crowd_test.go
+++ b/core/admitter/crowd_test.go
@@ -279,7 +279,7 @@
 }
 
 // Symptom: a host that hears nobody refuses by what it has once heard. Sequence: a service
-// is short; the host is cut off from all others. Cause: words that don't age.
+// is short; the host is cut off from all others. Cause: reports that don't age.
 func TestHostOutOfTouchDoesNotShareOut(t *testing.T) {
 	f := newFleet(50, 2, 4)
 	f.ask(20, 100)
--- a/core/throttler/share_test.go
+++ b/core/throttler/share_test.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// beat is the step of time of these tests; work how long a flow lasts.
-	beat = 10 * time.Millisecond
+	// step is by how much time moves on at once in these tests, work how long a flow lasts.
+	step = 10 * time.Millisecond
 	work = 50 * time.Millisecond
 )
 
@@ -52,15 +52,15 @@
 	for _, g := range c.groups {
 		g.asked, g.served, g.throttled = 0, 0, 0
 	}
-	for end := c.now.Add(span); c.now < end; c.now = c.now.Add(beat) {
-		c.room = min(c.room+c.perSecond*beat.Seconds(), c.perSecond*work.Seconds())
+	for end := c.now.Add(span); c.now < end; c.now = c.now.Add(step) {
+		c.room = min(c.room+c.perSecond*step.Seconds(), c.perSecond*work.Seconds())
 		for _, r := range c.ends[c.now] {
 			c.throttler.End(r, c.now)
 		}
 		delete(c.ends, c.now)
 		var asking []*group
 		for _, g := range c.groups {
-			for g.due += g.perSecond * beat.Seconds(); g.due >= 1; g.due-- {
+			for g.due += g.perSecond * step.Seconds(); g.due >= 1; g.due-- {
 				asking = append(asking, g)
 			}
 		}
--- a/operator/quotas.go
+++ b/operator/quotas.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// readQuotas reads and checks the quotas of a host's file.
+// readQuotas reads and checks the quotas of a host's file. The rest of the file isn't checked.
 func readQuotas(path string) ([]throttler.Quota, error) {
 	file, err := readSource(path)
 	if err != nil {
@@ -57,7 +57,7 @@
 	return throttler.ParseQuotas(text.Quotas)
 }
 
-// touching returns the quotas of which some route counts a caller's requests.
+// touching returns the quotas that count a caller's requests, on whatever route.
 func touching(all []throttler.Quota, caller netip.Addr) []throttler.Quota {
 	var some []throttler.Quota
 	for _, q := range all {
@@ -68,7 +68,7 @@
 	return some
 }
 
-// quotaValues writes quotas in the form of values in force.
+// quotaValues writes quotas in the form in which the printer lists settings.
 func quotaValues(all []throttler.Quota) []resolver.Value {
 	values := make([]resolver.Value, 0, len(all))
 	for _, q := range all {
