--- a/core/admitter/demand.go
+++ b/core/admitter/demand.go
@@ -54,7 +54,7 @@
 
 // total adds up demands in parts of a slot.
 //
-// What goes wrong with floats: words are kept in maps, which give them in any order; the
+// What goes wrong with floats: reports are kept in maps, which give them in any order; the
 // sum depends on it in its last digits, so equal events give unequal decisions. Sums of
 // integers don't.
 type total struct{ open, new [Levels]int64 }
--- a/core/estimator/reports_internal_test.go
+++ b/core/estimator/reports_internal_test.go
@@ -11,7 +11,7 @@
 )
 
 // Symptom: memory grows with hosts times targets. Sequence: each host of a large zone
-// says at times that a target's answers come too quickly. Cause: a word of each is kept.
+// says at times that a target's answers come too quickly. Cause: a report of each is kept.
 // Two of them are as good as all, since nobody asks for more than two.
 func TestTwoQuickWordsSayWhatAllSay(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
--- a/core/estimator/target.go
+++ b/core/estimator/target.go
@@ -6,7 +6,7 @@
 	"cranberryspan.dev/core/timekeeper"
 )
 
-// eighths is in how many steps hosts tell each other a logarithm of 1.
+// eighths is into how many parts hosts divide a binary logarithm that they tell each other.
 const eighths = 8
 
 // Pace is what hosts tell each other of a target.
@@ -30,7 +30,8 @@
 	nextTrial timekeeper.Instant
 }
 
-// Observe takes in a sample of this host: what Zone.Observe left of an Excess.
+// Observe takes in a sample of this host: by how much an Excess is above the zone's own, as
+// Zone.Observe returns it.
 func (t *Target) Observe(excess float64, now timekeeper.Instant) {
 	t.own.add(excess, 1, now)
 	t.all.add(excess, 1, now)
--- a/core/throttler/table.go
+++ b/core/throttler/table.go
@@ -31,8 +31,8 @@
 	// grow again.
 	growth     = 1.05
 	fewRefused = 0.02
-	// leastRate is the rate, in new flows a second, below which a caller that asks counts as
-	// none and refusals count as none: less than one in the last few seconds.
+	// leastRate is the rate, in new flows a second, below which what a caller asks, or what
+	// is refused, counts as nothing: less than one in the last few seconds.
 	leastRate = 0.05
 	// divideEvery is how often the callers' shares are worked out.
 	divideEvery = 100 * time.Millisecond
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -8,10 +8,10 @@
 // hundred people.
 //
 // The answer: weighted max-min fairness among addresses. What the host passes on is
-// divided in proportion to weights; who asks for less than its share gets all of it, and
-// what it leaves goes to the others. Who has had more than its share, and asks for far
-// more than others do for their weight, is refused. A crowd of callers who ask alike is
-// left to admission, which knows what each request is worth.
+// divided in proportion to weights; a caller that asks for less than its share gets all
+// that it asks for, and what it leaves goes to the others. A caller that has had more than
+// its share, and asks for far more than others do for their weight, is refused. A crowd of
+// callers who ask alike is left to admission, which knows the priority of each request.
 //
 // An address weighs as much as it had flows open at a time before the shortage: many
 // people have many, while a program that asks again as soon as it is answered has one at
