--- a/core/estimator/zone.go
+++ b/core/estimator/zone.go
@@ -16,9 +16,9 @@
 	zoneMemory = 2 * time.Second
 	// leastZoneSamples are needed to believe anything of a zone.
 	leastZoneSamples = 3
-	// quickPart of the samples are quicker than what is taken for the zone's own speed:
-	// it stays where it is as long as a quarter of the work meets quick targets.
-	quickPart = 0.25
+	// zoneQuantile is the part of the samples that is quicker than what is taken for the
+	// zone's own: a zone is slow only if less than a quarter of its work is quick.
+	zoneQuantile = 0.25
 )
 
 // Zone is how fast the targets of a service in a zone are together, as one host sees it.
@@ -26,18 +26,19 @@
 type Zone struct {
 	samples [zoneSamples]zoneSample
 	next    int
-	// excess and known are kept by Refresh.
+	// excess, known and idle are what Excess, Known and Idle return. Refresh keeps them.
 	excess float64
 	known  bool
 	idle   bool
 }
 
+// zoneSample is a binary logarithm, and when it came; none if that is 0.
 type zoneSample struct {
 	excess float64
 	at     timekeeper.Instant
 }
 
-// Observe takes in a sample, and returns what is beyond the zone's own.
+// Observe takes in a sample, an Excess, and returns by how much it is above the zone's own.
 func (z *Zone) Observe(excess float64, now timekeeper.Instant) float64 {
 	z.samples[z.next] = zoneSample{excess, now}
 	z.next = (z.next + 1) % zoneSamples
@@ -73,10 +74,10 @@
 		return
 	}
 	slices.Sort(recent[:count])
-	z.excess = max(recent[int(quickPart*float64(count))], 0)
+	z.excess = max(recent[int(zoneQuantile*float64(count))], 0)
 }
 
-// Excess is the logarithm of the zone's time for a request as a multiple of the usual: 0
+// Excess is the binary logarithm of the zone's time for a request as a multiple of the usual: 0
 // unless even its quick answers take longer than usual.
 func (z *Zone) Excess() float64 { return z.excess }
 
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -22,16 +22,16 @@
 // room is what a host knows of the room of a service.
 type room struct {
 	admitter *admitter.Admitter
-	// assessDeadline is when the view is next to be made anew.
+	// assessDeadline is when the view has to be made anew.
 	assessDeadline timekeeper.Instant
 	// opening is the usual time until a flow opens: what answers take besides work.
 	opening usualTime
-	// work holds the usual time of work, by route: the median, with what requests wait on
-	// calm days, is close to the mean of the work alone. The same answers teach
-	// Steerer.usual, which differs: it holds what callers wait for in all, with the way, and
-	// goes on learning where more than half of the room is asked for, since lateness is
-	// measured against it. A time of work that took in the waits of a crowd would make the
-	// crowd look larger still.
+	// work holds the usual time of work, by route: the median of times that contain what
+	// requests wait on calm days, which is close to the mean of the work alone. Steerer.usual learns from the same answers
+	// and differs: it holds all that callers wait for, with the time on the way, and goes on
+	// learning where more than half of the room is asked for, since lateness is measured
+	// against it. A time of work that took in the waits of a crowd would make the crowd look
+	// larger still.
 	work map[string]*usualTime
 	// anyWork is that time over all routes whose callers wait for longer than work takes.
 	anyWork usualTime
@@ -44,7 +44,7 @@
 	}
 }
 
-// work is for how long a request of a route keeps a slot busy on average; 0 if unknown.
+// work is how long a request of a route keeps a slot busy on average; 0 if unknown.
 // What an answer takes on its way is what a flow takes to open.
 //
 // What goes wrong if a route of which little is known counts as nothing: its callers take
@@ -118,7 +118,7 @@
 	}
 	v.room.assessDeadline = s.now.Add(assessEvery)
 	a := v.room.admitter
-	reach := s.look()
+	reach := s.currentReach()
 	view := admitter.View{Room: s.roomOf(v.name), ZoneHosts: 1 + reach.living, InTouch: reach.inTouch()}
 	if !a.Assess(s.now, view) {
 		return
@@ -157,7 +157,7 @@
 func (s *Steerer) roomOf(service string) float64 {
 	sum := 0.0
 	views := s.views(&choice{service: service})
-	reach := s.look()
+	reach := s.currentReach()
 	for _, t := range s.targets.byService[service] {
 		zone := &views[t.zone]
 		lost := t.health.unreachable() || t.health.suspect || t.toldSilent(s.now)
@@ -173,15 +173,17 @@
 	return sum
 }
 
-// reach is which hosts and zones are heard from. All services share it: looking at each
-// host for each of them would cost most of what admission costs.
+// reach is which hosts and zones are heard from, as of some moment before deadline. All
+// services share it: looking at each host for each of them would cost most of what admission
+// costs.
 type reach struct {
 	deadline timekeeper.Instant
 	// living counts the other hosts of the own zone that live as far as anybody says, heard
-	// says that one of them has reported of late, near that there are any, living or not.
-	living int
-	heard  bool
-	near   bool
+	// says that one of them has reported of late, neighbours that any are known, living or
+	// not.
+	living     int
+	heard      bool
+	neighbours bool
 	// known are the other zones of which a host has ever been heard, fresh those of which
 	// one has been of late.
 	known map[string]bool
@@ -195,10 +197,10 @@
 // inTouch reports whether this host hears enough of others to share room with them. The only
 // host of a zone sees all that the zone's callers ask; what it needs is word of other zones.
 // One that has neighbours and hears none of them may be cut off, and knows only a part.
-func (r *reach) inTouch() bool { return r.heard || (!r.near && len(r.fresh) > 0) }
+func (r *reach) inTouch() bool { return r.heard || (!r.neighbours && len(r.fresh) > 0) }
 
-// look brings up to date which hosts and zones are heard from.
-func (s *Steerer) look() *reach {
+// currentReach brings up to date which hosts and zones are heard from.
+func (s *Steerer) currentReach() *reach {
 	r := &s.reach
 	if !r.deadline.Passed(s.now) {
 		return r
@@ -213,11 +215,11 @@
 				r.fresh[p.zone] = true
 			}
 		case p.mentioned(s.now, silence):
-			r.near = true
+			r.neighbours = true
 			r.living++
 			r.heard = r.heard || p.hears(s.now)
 		default:
-			r.near = true
+			r.neighbours = true
 		}
 	}
 	return r
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -6,9 +6,9 @@
 	"cranberryspan.dev/core/throttler"
 )
 
-// shortOfRoom reports whether a service is asked for more than its targets can do. A host
-// that hears no other goes by its own answers.
-func (s *Steerer) shortOfRoom(service string) bool {
+// shortOrPressed reports whether a service is asked for more than its targets can do. A host
+// that hears no other does not know the demand (see short) and goes by its own answers.
+func (s *Steerer) shortOrPressed(service string) bool {
 	v, ok := s.services[service]
 	if !ok {
 		return false
@@ -32,7 +32,7 @@
 		s.refuse(p, "callerQuota", field("quota", quota.String()), field("requestsPerSecond", perSecond(quota.PerSecond)))
 		return true
 	}
-	asked := throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOfRoom(service)}
+	asked := throttler.Request{Caller: p.Caller.Addr(), Service: service, Short: s.shortOrPressed(service)}
 	if verdict := s.throttler.Ask(asked, s.now); verdict.Refused {
 		s.counts.add(RefusedCallerShare)
 		s.refuse(p, "callerShare", field("service", service), field("prefix", verdict.Prefix.String()),
@@ -52,10 +52,11 @@
 	s.throttler.Pass(throttler.Request{Caller: key.caller.Addr(), Service: f.countedFor.name}, s.now)
 }
 
-// noteEnded takes the flow back, once.
+// noteEnded counts the end of a flow for its caller, once.
 //
-// What goes wrong if the target's service counts: the flow, or its target, has gone to
-// another service meanwhile, and its caller weighs for good as much as with the flow open.
+// What goes wrong if it counts for the service of the flow's target: the flow, or its target,
+// has gone to another service meanwhile, and at the first its caller keeps the weight of an
+// open flow for good.
 func (s *Steerer) noteEnded(key flowKey, f *flow) {
 	if f.countedFor == nil {
 		return
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -8,10 +8,10 @@
 // hundred people.
 //
 // The answer: weighted max-min fairness among addresses. What the host passes on is
-// divided in proportion to weights; who asks for less than its share gets all of it, and
-// what it leaves goes to the others. Who has had more than its share, and asks for far
-// more than others do for their weight, is refused. A crowd of callers who ask alike is
-// left to admission, which knows what each request is worth.
+// divided in proportion to weights; a caller that asks for less than its share gets all
+// that it asks for, and what it leaves goes to the others. A caller that has had more than
+// its share, and asks for far more than others do for their weight, is refused. A crowd of
+// callers who ask alike is left to admission, which knows the priority of each request.
 //
 // An address weighs as much as it had flows open at a time before the shortage: many
 // people have many, while a program that asks again as soon as it is answered has one at
@@ -35,9 +35,9 @@
 )
 
 const (
-	// maxAddresses and maxPrefixes bound the callers that are kept of a service, to some
-	// 0.2 MB: a host of a large fleet sees a few dozen new flows a second. A caller beyond
-	// them is forgotten, which refuses nobody.
+	// maxAddresses and maxPrefixes bound the callers that are kept of a service, and so the
+	// memory that an attacker can fill. A caller beyond them is forgotten, which refuses
+	// nobody.
 	maxAddresses = 512
 	maxPrefixes  = 128
 	// maxServices bounds the services that are kept.
@@ -63,10 +63,10 @@
 	// prefixes answer for all other addresses of theirs.
 	addresses *table
 	prefixes  *table
-	// balance is what callers ask for, and may have, until balanceDeadline.
-	balance         balance
-	balanceDeadline timekeeper.Instant
-	// throttled counts the new flows that were refused for their callers' shares.
+	// division is what callers ask for, and may have, until divisionDeadline.
+	division         division
+	divisionDeadline timekeeper.Instant
+	// throttled is the rate of new flows that were refused for their callers' shares.
 	throttled meanRate
 	// calmDeadline is when weights are learned again after a shortage.
 	calmDeadline timekeeper.Instant
@@ -137,49 +137,49 @@
 
 // judge says whether a caller has had more than its share, and asks for much more than others.
 func (s *service) judge(c *caller, now timekeeper.Instant) Verdict {
-	if s.balanceDeadline.Passed(now) {
-		s.balance = s.weigh(now)
-		s.balanceDeadline = now.Add(balanceEvery)
+	if s.divisionDeadline.Passed(now) {
+		s.division = s.divide(now)
+		s.divisionDeadline = now.Add(divideEvery)
 	}
-	weight := s.balance.weightOf(c)
-	verdict := Verdict{Prefix: c.prefix, Had: c.passed.at(now), FairShare: s.balance.level * weight}
-	verdict.Refused = verdict.Had >= max(verdict.FairShare, s.balance.leastOf(c)) && s.balance.asksForMuchMore(c, now)
+	weight := s.division.weightOf(c)
+	verdict := Verdict{Prefix: c.prefix, Had: c.passed.at(now), FairShare: s.division.level * weight}
+	verdict.Refused = verdict.Had >= max(verdict.FairShare, s.division.leastOf(c)) && s.division.asksForMuchMore(c, now)
 	if verdict.Refused {
 		s.throttled.add(now)
 	}
 	return verdict
 }
 
-// weigh divides what is passed on at present among the callers. If nobody is refused,
-// there is nothing to divide. If few are refused but for a share, there may be more room.
-func (s *service) weigh(now timekeeper.Instant) balance {
-	b := balance{level: math.Inf(1)}
-	b.weighUnknown(s.prefixes, now)
+// divide shares out what is passed on at present among the callers. If nobody is refused,
+// there is nothing to divide. If few are refused but for their shares, there may be more room.
+func (s *service) divide(now timekeeper.Instant) division {
+	d := division{level: math.Inf(1)}
+	d.weighUnknown(s.prefixes, now)
 	var demands []demand
 	room := 0.0
 	for _, t := range []*table{s.addresses, s.prefixes} {
 		for _, c := range t.callers.Values() {
-			one := demand{asked: c.asked.at(now), weight: b.weightOf(c)}
-			if one.asked < leastRefused {
+			one := demand{asked: c.asked.at(now), weight: d.weightOf(c)}
+			if one.asked < leastRate {
 				continue
 			}
 			demands = append(demands, one)
-			b.total.add(one)
+			d.total.add(one)
 			if !c.known {
-				b.unknown.add(one)
+				d.unknown.add(one)
 			}
 			room += c.passed.at(now)
 		}
 	}
-	refused := b.total.asked - room
-	if refused < leastRefused {
-		return b
+	refused := d.total.asked - room
+	if refused < leastRate {
+		return d
 	}
-	b.level = maxMinLevel(demands, room)
+	d.level = maxMinLevel(demands, room)
 	if refused-s.throttled.at(now) < fewRefused*room {
-		b.level *= growth
+		d.level *= growth
 	}
-	return b
+	return d
 }
 
 // Pass takes in that a caller's new flow is passed on. Its end has to be told.
