Red runs take place side by side

Cause: 271 pairs one after another take longer than all other checks together, more than ten minutes beside load; the script then bounds how often a check is run before a landing.

Change: each pair in a copy of its own, as many at once as there are processors; the results are printed in the order of the pairs, and a pair without a result counts as failed.

--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -6,34 +6,38 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-passed=0
-failed=0
 # package is where the tests of the mechanisms below it are.
 package=reducer
+# started counts the pairs, each of which runs in a copy of its own, some at a time.
+started=0
+atOnce=$(nproc)
 
 # without WHAT FILE SEARCH REPLACE TEST: SEARCH is a literal line part.
 without() {
-	local what=$1 file=$2 search=$3 replace=$4 test=$5
-	rm -rf "$work/core"
-	cp -r "$root/core" "$work/core"
-	SEARCH=$search REPLACE=$replace perl -0pi -e 's/\Q$ENV{SEARCH}\E/$ENV{REPLACE}/' "$work/core/$file"
-	if cmp -s "$root/core/$file" "$work/core/$file"; then
+	started=$((started + 1))
+	while [ "$(jobs -rp | wc -l)" -ge "$atOnce" ]; do
+		wait -n || true
+	done
+	takeOut "$work/$started" "$package" "$@" >"$work/$started.result" 2>&1 &
+}
+
+# takeOut COPY PACKAGE WHAT FILE SEARCH REPLACE TEST: runs one pair and prints a line that
+# begins with "ok" or "FAIL".
+takeOut() {
+	local copy=$1 package=$2 what=$3 file=$4 search=$5 replace=$6 test=$7
+	mkdir "$copy"
+	cp -r "$root/core" "$copy/core"
+	SEARCH=$search REPLACE=$replace perl -0pi -e 's/\Q$ENV{SEARCH}\E/$ENV{REPLACE}/' "$copy/core/$file"
+	if cmp -s "$root/core/$file" "$copy/core/$file"; then
 		echo "FAIL $what: '$search' is no longer in $file"
-		failed=$((failed + 1))
-		return
-	fi
-	if ! (cd "$work/core" && GOWORK=off go vet "./$package" >/dev/null 2>"$work/vet"); then
-		echo "FAIL $what: the changed copy does not compile: $(head -3 "$work/vet")"
-		failed=$((failed + 1))
-		return
-	fi
-	if (cd "$work/core" && GOWORK=off go test "./$package" -count=1 -run "^($test)\$" >/dev/null 2>&1); then
+	elif ! (cd "$copy/core" && GOWORK=off go vet "./$package" >/dev/null 2>"$copy/vet"); then
+		echo "FAIL $what: the changed copy does not compile: $(head -3 "$copy/vet")"
+	elif (cd "$copy/core" && GOWORK=off go test "./$package" -count=1 -run "^($test)\$" >/dev/null 2>&1); then
 		echo "FAIL $what: $test passes without it"
-		failed=$((failed + 1))
 	else
 		echo "ok   without $what, $test fails"
-		passed=$((passed + 1))
 	fi
+	rm -rf "$copy"
 }
 
 without "the flow table" reducer/pinning.go 'if !known {
@@ -416,5 +420,11 @@
 without "one turn a round" steerer/estimating.go 'if s.estimating.turnDeadline.Passed(s.now) {' 'if true {' TestReportsOfARoundTellOfTheSameTargets
 without "trials by service" steerer/estimating.go 's.service(c.service).trials.Next()' 's.service("").trials.Next()' TestServicesCountTheirTrialsApart
 
-echo "$passed passed, $failed failed"
+wait
+failed=0
+for number in $(seq "$started"); do
+	cat "$work/$number.result"
+	grep -q '^ok ' "$work/$number.result" || failed=$((failed + 1))
+done
+echo "$((started - failed)) passed, $failed failed"
 test "$failed" -eq 0
