--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -426,10 +426,14 @@
 
 // Room is how many more flows this host may place at a target; 0 if none.
 func (l *Limiter) Room(t *Target, b Bound, g Guess, now timekeeper.Instant) int {
-	return max(b.Flows-b.Reserved-l.Belief(t, b.Flows, g, now).Sum(), 0)
+	return b.room(l.Belief(t, b.Flows, g, now).Sum())
 }
 
-// Admits reports whether this host may place one more flow at a target.
+// room is what a bound leaves beside some flows.
+func (b Bound) room(flows int) int { return max(b.Flows-b.Reserved-flows, 0) }
+
+// Offer returns how many flows a target is believed to hold, and whether this host may place
+// one more. A choice asks this of each target.
 //
 // What goes wrong if all hosts may while there is room: what each knows of the others is a
 // second old, so all of a zone go for the last places, and most meet a full target. One
@@ -437,19 +441,12 @@
 // are fewer places than hosts, as many hosts as places have their turn, others each
 // second, and each places one flow. A place that this host's own flow has left is its own
 // for that time: nobody else knows of it.
-func (l *Limiter) Admits(t *Target, tag uint32, b Bound, g Guess, now timekeeper.Instant) bool {
-	_, admits := l.Offer(t, tag, b, g, now)
-	return admits
-}
-
-// Offer returns how many flows a target is believed to hold, and what Admits says of one
-// more. A choice asks this of each target.
 func (l *Limiter) Offer(t *Target, tag uint32, b Bound, g Guess, now timekeeper.Instant) (flows int, admits bool) {
 	flows = l.Belief(t, b.Flows, g, now).Sum()
-	return flows, l.admits(t, tag, max(b.Flows-b.Reserved-flows, 0), b.Brief, now)
+	return flows, l.admits(t, tag, b.room(flows), b.Brief, now)
 }
 
-// admits is Admits, given how many more flows there is room for.
+// admits reports whether this host may place one more flow, given how many there is room for.
 func (l *Limiter) admits(t *Target, tag uint32, room int, brief bool, now timekeeper.Instant) bool {
 	hosts := l.others() + 1
 	switch {
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -32,6 +32,12 @@
 	os.Exit(m.Run())
 }
 
+// admits reports whether a host may place one more flow at a target.
+func admits(l *limiter.Limiter, t *limiter.Target, tag uint32, b limiter.Bound, g limiter.Guess, now timekeeper.Instant) bool {
+	_, admits := l.Offer(t, tag, b, g, now)
+	return admits
+}
+
 func ExampleLimiter_Room() {
 	l := limiter.New("a0", start, idle)
 	t := l.Target(1)
@@ -140,17 +146,17 @@
 	lasting, brief := 0, 0
 	for n := range 100 {
 		now := start.Add(time.Duration(n) * time.Second)
-		if l.Admits(one, 1, limiter.Bound{Flows: 5}, limiter.Guess{}, now) {
+		if admits(l, one, 1, limiter.Bound{Flows: 5}, limiter.Guess{}, now) {
 			lasting++
 		}
-		if l.Admits(one, 1, bound, limiter.Guess{}, now) {
+		if admits(l, one, 1, bound, limiter.Guess{}, now) {
 			brief++
 		}
 	}
 	require.Equal(t, 100, brief)
 	require.Less(t, lasting, 10, "one host of 51 has its turn")
 	one.Placed(start)
-	require.False(t, l.Admits(one, 1, bound, limiter.Guess{}, start))
+	require.False(t, admits(l, one, 1, bound, limiter.Guess{}, start))
 }
 
 // world is a zone's hosts before some targets that hold a bounded number of flows. A
@@ -253,7 +259,7 @@
 	best, most := -1, 0
 	for _, i := range w.random.Perm(w.targets) {
 		tag := uint32(i + 1)
-		if room := l.Room(l.Target(tag), bound, guess, w.now); room > most && l.Admits(l.Target(tag), tag, bound, guess, w.now) {
+		if room := l.Room(l.Target(tag), bound, guess, w.now); room > most && admits(l, l.Target(tag), tag, bound, guess, w.now) {
 			best, most = i, room
 		}
 	}
@@ -519,7 +525,7 @@
 	now := start.Add(900 * time.Millisecond)
 	bound, admitted := limiter.Bound{Flows: 100}, 0
 	require.Greater(t, l.Room(one, bound, limiter.Guess{}, now), 4)
-	for admitted < 9 && l.Admits(one, 1, bound, limiter.Guess{}, now) {
+	for admitted < 9 && admits(l, one, 1, bound, limiter.Guess{}, now) {
 		one.Placed(now)
 		admitted++
 	}
@@ -555,7 +561,7 @@
 			l.Take("other", limiter.Word{Incarnation: 1, Near: true, Flows: map[uint32]uint16{1: 15}}, now)
 			one := l.Target(1)
 			one.Seen()
-			for l.Admits(one, 1, limiter.Bound{Flows: 16 + room}, limiter.Guess{}, now.Add(idle)) {
+			for admits(l, one, 1, limiter.Bound{Flows: 16 + room}, limiter.Guess{}, now.Add(idle)) {
 				one.Placed(now.Add(idle))
 				admitted++
 				turns[host]++
--- a/core/steerer/admitting.go
+++ b/core/steerer/admitting.go
@@ -11,13 +11,6 @@
 	slowerTimes = 1.5
 )
 
-// short reports whether a service is asked for more than it has room for, as far as the
-// demand of all hosts is known. See shortOrPressed for hosts that know only their own.
-func (s *Steerer) short(service string) bool {
-	v, ok := s.services[service]
-	return ok && v.room.admitter.Short()
-}
-
 // refusal is why a new flow doesn't get in.
 type refusal uint8
 
--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -59,8 +59,8 @@
 	evacuated  bool
 	lastResort bool
 	doubted    bool
-	// slowness is the binary logarithm of the time that the service takes there, as a multiple of
-	// the usual.
+	// slowness is the binary logarithm of the time that the service takes there, as a
+	// multiple of the usual.
 	slowness float64
 }
 
--- a/core/steerer/connections.go
+++ b/core/steerer/connections.go
@@ -149,7 +149,7 @@
 	if s.settings.IdleTimeout > 0 {
 		c.limiter.SetIdle(s.settings.IdleTimeout)
 	}
-	c.limiter.SetNear(s.nearHosts())
+	c.limiter.SetNear(s.hostsInZone() - 1)
 	c.limiter.Sweep(s.now)
 	for _, service := range s.settings.Services {
 		s.lookAtConnections(service)
@@ -157,45 +157,28 @@
 	s.sweepConnections()
 }
 
-// sweepConnections forgets services that are no longer published, and old word of other zones.
+// sweepConnections forgets services that have no bound any more, or are no longer published,
+// and old word of other zones.
 func (s *Steerer) sweepConnections() {
 	c := &s.connections
 	for _, names := range [][]string{s.tightNames(), slices.Sorted(maps.Keys(c.uses))} {
 		for _, name := range names {
 			if s.settings.service(name).MaxConnections <= 0 {
-				s.forgetBound(name)
+				delete(c.tight, name)
+				delete(c.uses, name)
 			}
 		}
 	}
 	maps.DeleteFunc(c.away, func(_ zoneService, told zoneFlows) bool { return told.deadline.Passed(s.now) })
 }
 
-// forgetBound drops what is known of a service that has no bound any more.
-func (s *Steerer) forgetBound(service string) {
-	delete(s.connections.tight, service)
-	delete(s.connections.uses, service)
-}
-
-// nearHosts counts the other hosts of the own zone that live.
-func (s *Steerer) nearHosts() int {
-	count := 0
-	silence := s.mentionSilence()
-	for _, p := range s.peers.ordered() {
-		if p.zone == s.config.AvailabilityZone && p.mentioned(s.now, silence) {
-			count++
-		}
-	}
-	return count
-}
-
 // lookAtConnections works out whether a service is short of connections, in this host's
 // zone or as a whole.
 func (s *Steerer) lookAtConnections(service Service) {
-	known := s.connections.tight[service.Name]
 	if service.MaxConnections <= 0 {
-		s.forgetBound(service.Name)
-		return
+		return // What is known of it is swept; see sweepConnections.
 	}
+	known := s.connections.tight[service.Name]
 	v := tightService{name: service.Name, bound: service.MaxConnections}
 	s.guessHome(&v, known)
 	s.classifyRoutes(&v)
--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -64,8 +64,8 @@
 	return z
 }
 
-// zoneExcess is the binary logarithm of the time that a service takes in a zone, as a multiple of
-// the usual; 0 if nothing is known.
+// zoneExcess is the binary logarithm of the time that a service takes in a zone, as a
+// multiple of the usual; 0 if nothing is known.
 func (s *Steerer) zoneExcess(service, zone string) float64 {
 	if z, ok := s.estimating.zones[serviceZone{service, zone}]; ok {
 		return z.Excess()
@@ -172,7 +172,7 @@
 	if t.pace.Slow() {
 		event = "targetSlow"
 		s.counts.add(TargetSlow)
-		t.pace.SetTrial(1+s.peers.zones.live(s.config.AvailabilityZone, s.now, s.mentionSilence()), s.random.Float64(), s.now)
+		t.pace.SetTrial(s.hostsInZone(), s.random.Float64(), s.now)
 	}
 	all, own := t.pace.Samples()
 	s.log(event, field("target", t.ID), field("service", t.Service), field("zone", t.AvailabilityZone),
@@ -228,7 +228,7 @@
 		}
 	}
 	if due != nil {
-		due.pace.SetTrial(1+s.peers.zones.live(s.config.AvailabilityZone, s.now, s.mentionSilence()), s.random.Float64(), s.now)
+		due.pace.SetTrial(s.hostsInZone(), s.random.Float64(), s.now)
 		s.counts.add(TrialFlow)
 		return due
 	}
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -258,6 +258,12 @@
 	return count
 }
 
+// hostsInZone counts the hosts of the own zone that live as far as anybody says, this one
+// among them.
+func (s *Steerer) hostsInZone() int {
+	return 1 + s.peers.zones.live(s.config.AvailabilityZone, s.now, s.mentionSilence())
+}
+
 // notePeer returns the record of a host, which it makes if there is none. The host
 // reported to somebody so long ago.
 func (s *Steerer) notePeer(name string, address netip.AddrPort, age time.Duration) *peer {
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -27,11 +27,11 @@
 	// opening is the usual time until a flow opens: what answers take besides work.
 	opening usualTime
 	// work holds the usual time of work, by route: the median of times that contain what
-	// requests wait on calm days, which is close to the mean of the work alone. Steerer.usual learns from the same answers
-	// and differs: it holds all that callers wait for, with the time on the way, and goes on
-	// learning where more than half of the room is asked for, since lateness is measured
-	// against it. A time of work that took in the waits of a crowd would make the crowd look
-	// larger still.
+	// requests wait on calm days, which is close to the mean of the work alone. Steerer.usual
+	// learns from the same answers and differs: it holds all that callers wait for, with the
+	// time on the way, and goes on learning where more than half of the room is asked for,
+	// since lateness is measured against it. A time of work that took in the waits of a crowd
+	// would make the crowd look larger still.
 	work map[string]*usualTime
 	// anyWork is that time over all routes whose callers wait for longer than work takes.
 	anyWork usualTime
@@ -230,7 +230,7 @@
 	fullest := 0.0
 	for _, v := range s.services {
 		a := v.room.admitter
-		if s.short(v.name) {
+		if a.Short() {
 			snapshot.Short++
 		}
 		demand, room := a.Demand().Total(), a.Room()
--- a/core/steerer/throttling.go
+++ b/core/steerer/throttling.go
@@ -7,7 +7,7 @@
 )
 
 // shortOrPressed reports whether a service is asked for more than its targets can do. A host
-// that hears no other does not know the demand (see short) and goes by its own answers.
+// that hears no other does not know what all callers ask, and goes by its own answers.
 func (s *Steerer) shortOrPressed(service string) bool {
 	v, ok := s.services[service]
 	if !ok {
@@ -81,6 +81,5 @@
 	if !s.throttler.HasQuotas() {
 		return
 	}
-	others := s.peers.zones.live(s.config.AvailabilityZone, s.now, s.mentionSilence())
-	s.throttler.ShareQuotas(1+others, s.now)
+	s.throttler.ShareQuotas(s.hostsInZone(), s.now)
 }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -325,7 +325,7 @@
 without "trials where there is room" steerer/estimating.go 's.connectionLoad(t, crowd); !room {' 's.connectionLoad(t, crowd); false && !room {' TestTrialsGoToTargetsWithRoom
 without "a place for checks at small bounds" steerer/places.go 'max(v.bound/reservedDivisor, checkPlaces), v.bound-1)' 'v.bound/reservedDivisor)' TestSmallBoundsKeepAPlaceForChecks
 without "uses of bounded services alone" steerer/places.go 'if s.settings.service(service).MaxConnections <= 0 {' 'if false {' TestUsesOfPastRoutesAreForgotten
-without "the end of uses" steerer/connections.go 'delete(s.connections.uses, service)' '_ = service' TestBoundThatIsTakenBackLeavesNothing
+without "the end of uses" steerer/connections.go 'delete(c.uses, name)' '_ = name' TestBoundThatIsTakenBackLeavesNothing
 without "word of known services alone" steerer/telling.go 'if d.Flows > 0 && known {' '_ = known; if d.Flows > 0 {' TestWordOfUnknownServicesIsNotKept
 without "word of flows" steerer/reports.go 'r.Flows = s.toldFlows(to)' '_ = s.toldFlows(to)' TestHostsTellEachOtherWhatTheyHold
 package=admitter
