The room of a service is kept as a sum, not added up for each new flow

Ruled out: a longer time between two looks (the cost would still grow with the targets, and small services would be seen later); a sum that every event keeps exact (warm-ups, word of silence and grace end with time alone, so each would need a timer).

Change: each service has a sum by zone. Targets that changed are counted anew at the next look, and 128 of the others in turn; zones that are evacuated, doubted or not heard of are left out as wholes. Services of up to 128 targets are seen exactly as before.

--- a/core/steerer/estimating.go
+++ b/core/steerer/estimating.go
@@ -168,6 +168,7 @@
 	if !t.pace.Refresh(s.now) {
 		return
 	}
+	s.targets.noteUncounted(t)
 	event := "targetQuickAgain"
 	if t.pace.Slow() {
 		event = "targetSlow"
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -68,6 +68,9 @@
 func (s *Steerer) noteProgress(t *target) {
 	s.diagnoser.Heard(t.AvailabilityZone, s.now)
 	h := &t.health
+	if h.suspect || h.unreachable() {
+		s.targets.noteUncounted(t)
+	}
 	h.lastProgress = s.now
 	h.stalls = 0
 	h.suspect = false
@@ -96,6 +99,7 @@
 	if !h.suspect {
 		h.suspect = true
 		h.suspectSince = since
+		s.targets.noteUncounted(t)
 		s.logTarget("targetSuspected", t, field("cause", cause))
 	}
 	s.probe(t, s.checkPatience(t, since))
@@ -135,6 +139,7 @@
 	h := &t.health
 	h.probing = false
 	h.outcome = e.Outcome
+	s.targets.noteUncounted(t)
 	switch e.Outcome {
 	case ProbeHealthy, ProbeUnwilling, ProbeBusy, ProbeCut:
 		h.suspect = false
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -129,6 +129,7 @@
 	t.seen = seen
 	t.missing = true
 	s.targets.noteChanged(t)
+	s.targets.noteUncounted(t)
 	t.missingSince = s.now
 	s.peers.changed(t, s.now)
 	s.logTarget("targetMissing", t, field("draining", btoa(t.Draining)), field("revision", seen.String()), field("from", from))
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -152,25 +152,19 @@
 	return names
 }
 
-// roomOf adds up the slots of a service's targets that live, as far as this host knows, in
-// slots of usual speed.
+// roomOf is the slots of a service's targets that live, as far as this host knows, in slots
+// of usual speed.
 func (s *Steerer) roomOf(service string) float64 {
-	sum := 0.0
+	var room microSlots
 	views := s.views(&choice{service: service})
 	reach := s.currentReach()
-	for _, t := range s.targets.choices(service) {
-		zone := &views[t.zone]
-		lost := t.health.unreachable() || t.health.suspect || t.toldSilent(s.now)
-		if t.Draining || s.gone(t) || lost || zone.evacuated || zone.doubted || reach.unheard(t.AvailabilityZone) {
-			continue
+	for zone, slots := range s.countSlots(service).byZone {
+		view := &views[zone]
+		if !view.evacuated && !view.doubted && !reach.unheard(s.targets.zones[zone]) {
+			room += slots
 		}
-		speed := 1 / t.slownessBesideSiblings()
-		if s.cold(t) {
-			speed /= warmingLoad
-		}
-		sum += float64(max(t.Slots, 1)) * speed
 	}
-	return sum
+	return float64(room) / float64(slot)
 }
 
 // reach is which hosts and zones are heard from, as of some moment before deadline. All
--- a/core/steerer/silence.go
+++ b/core/steerer/silence.go
@@ -36,6 +36,7 @@
 			continue
 		}
 		t.toldSilentDeadline = s.now.Add(toldSilentMemory)
+		s.targets.noteUncounted(t)
 		if t.flows > 0 {
 			s.suspect(t, "toldSilent", s.now)
 		}
--- /dev/null
+++ b/core/steerer/slots_internal_test.go
@@ -0,0 +1,82 @@
+package steerer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cranberryspan.dev/core/sequencer"
+	"github.com/stretchr/testify/require"
+)
+
+// wholeSum adds up the slots of all of a service's choices by zone.
+func wholeSum(s *Steerer, service string) []microSlots {
+	sum := make([]microSlots, len(s.targets.slotsOf(service).byZone))
+	for _, t := range s.targets.byService[service] {
+		sum[t.zone] += s.usableSlots(t)
+	}
+	return sum
+}
+
+// Failure: callers are refused though there is room, or let in though there is none, because
+// a sum that is kept up to date has missed a change.
+func TestSlotsFollowEachChange(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2))
+	s := New(Config{Self: "a1", AvailabilityZone: "a"})
+	s.settings = NewSettings(1, nil, []Service{{Name: "ledger"}}, 15*time.Second)
+	s.targetsPosition = sequencer.At(0, 1)
+	for step := range uint64(2000) {
+		s.now = s.now.Add(20 * time.Millisecond)
+		changeSomething(s, random, sequencer.At(0, 2+step))
+		got := s.countSlots("ledger").byZone
+		require.Equal(t, wholeSum(s, "ledger"), got, "step %d", step)
+	}
+}
+
+// Failure: in a large fleet what a host believes of the room costs as much as its targets
+// are many, for each caller.
+func TestRoomOfALargeServiceIsCountedInParts(t *testing.T) {
+	s := serviceOf(12_000)
+	s.countSlots("ledger")
+	before := s.targets.visits
+	s.targets.byID["i-10000005"].Draining = true
+	s.targets.noteUncounted(s.targets.byID["i-10000005"])
+	sum := s.countSlots("ledger").byZone
+	require.LessOrEqual(t, s.targets.visits-before, uint64(recountStep))
+	require.Equal(t, wholeSum(s, "ledger"), sum)
+}
+
+// Failure: targets that turn cold, or warm up, without anything being told of them count as
+// before for good.
+func TestRoomOfALargeServiceFollowsTimeWithinSomeViews(t *testing.T) {
+	s := serviceOf(1_000)
+	for _, one := range s.targets.byService["ledger"] {
+		one.warmUpDeadline = s.now.Add(time.Second)
+	}
+	for range 1 + 1_000/recountStep {
+		s.countSlots("ledger")
+	}
+	require.Equal(t, wholeSum(s, "ledger"), s.targets.slotsOf("ledger").byZone)
+	s.now = s.now.Add(2 * time.Second)
+	for range 1 + 1_000/recountStep {
+		s.countSlots("ledger")
+	}
+	require.Equal(t, wholeSum(s, "ledger"), s.targets.slotsOf("ledger").byZone)
+	require.Equal(t, 2_000*slot, s.targets.slotsOf("ledger").byZone[0])
+}
+
+// serviceOf is a host that knows some targets of ledger in one zone.
+func serviceOf(targets int) *Steerer {
+	s := New(Config{Self: "a1", AvailabilityZone: "a", MaxFlows: 100_000})
+	s.now = s.now.Add(time.Second)
+	s.settings = NewSettings(1, nil, []Service{{Name: "ledger"}}, 15*time.Second)
+	list := TargetList{Position: sequencer.At(0, 1)}
+	for n := range targets {
+		id := fmt.Sprintf("i-%08x", 0x10000000+n)
+		number, _ := NumberOf(id)
+		list.Targets = append(list.Targets, Target{ID: id, Number: number, Service: "ledger", AvailabilityZone: "a", Slots: 2})
+	}
+	s.takeList(list)
+	return s
+}
--- a/core/steerer/table.go
+++ b/core/steerer/table.go
@@ -24,13 +24,17 @@
 	// are those that have changed since.
 	digestSum  uint64
 	undigested []*target
+	// slots adds up the slots of each service's choices; uncounted are the targets whose part
+	// in it may have changed.
+	slots     map[string]*slotSum
+	uncounted []*target
 	// visits counts the entries of the lists handed out: what events cost that go through
 	// them.
 	visits uint64
 }
 
 func newTable(near string) table {
-	return table{byID: map[string]*target{}, byTag: map[Tag]*target{}, byService: map[string][]*target{}, near: near}
+	return table{byID: map[string]*target{}, byTag: map[Tag]*target{}, byService: map[string][]*target{}, slots: map[string]*slotSum{}, near: near}
 }
 
 // put adds a target or changes what is known of it. It reports whether another
@@ -47,6 +51,7 @@
 	}
 	one.Target = record
 	t.noteChanged(one)
+	t.noteUncounted(one)
 	one.zone = t.zoneIndex(record.AvailabilityZone)
 	one.seen = seen
 	return one, !t.claimTag(one)
@@ -87,10 +92,12 @@
 		return
 	}
 	if one.listedUnder != "" {
+		t.slotsOf(one.listedUnder).set(one, 0)
 		siblings := t.byService[one.listedUnder]
 		t.byService[one.listedUnder] = slices.DeleteFunc(siblings, func(sibling *target) bool { return sibling == one })
 	}
 	if service != "" {
+		t.noteUncounted(one)
 		t.byService[service] = t.insert(t.byService[service], one)
 	}
 	one.listedUnder = service
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -79,6 +79,10 @@
 	// changed since.
 	digest     uint64
 	undigested bool
+	// counted is the target's part in the sum of its service's slots; uncounted says that it
+	// may have changed.
+	counted   microSlots
+	uncounted bool
 	// seen is the position of the platform's history at which the state was first read. Of
 	// two states of a target that hosts tell each other the one seen later holds.
 	seen sequencer.Position
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -419,6 +419,14 @@
 without "an end to what is known of zones" steerer/estimating.go 'return z.Idle()' 'return false' TestZonesOfOldServicesAreForgotten
 without "one turn a round" steerer/estimating.go 'if s.estimating.turnDeadline.Passed(s.now) {' 'if true {' TestReportsOfARoundTellOfTheSameTargets
 without "trials by service" steerer/estimating.go 's.service(c.service).trials.Next()' 's.service("").trials.Next()' TestServicesCountTheirTrialsApart
+without "targets whose digest changed" steerer/digest.go '		t.digestSum += next - one.digest' '		t.digestSum = next' TestDigestFollowsEachChange
+without "targets whose slots changed" steerer/slots.go '	for _, t := range s.targets.uncounted {
+		t.uncounted = false
+		s.countTarget(t)
+	}' '	for _, t := range s.targets.uncounted {
+		t.uncounted = false
+	}' TestRoomOfALargeServiceIsCountedInParts
+without "slots counted in turn" steerer/slots.go 'sum.next += step' 'sum.next += 0' TestRoomOfALargeServiceFollowsTimeWithinSomeViews
 
 wait
 failed=0
