A choice among many targets looks at a sample first

Cause: each new flow weighed all targets of its service in the own zone, 960 at the whole fleet, though nearly all were idle and equal but for the draw of the flow's hash.

Change: in a zone with more than 64 targets of the service 16 are drawn. The best is taken only if its load is within a tenth of a request of an idle target's, so that no other could be better by more; else all are weighed as before. Services short of connections are weighed as before.

--- a/core/steerer/choosing.go
+++ b/core/steerer/choosing.go
@@ -105,6 +105,9 @@
 	if t := s.trial(c, views, crowd); t != nil {
 		return t
 	}
+	if t := s.chooseSampled(&c, views, crowd); t != nil {
+		return t
+	}
 	for _, t := range s.targets.choices(c.service) {
 		if best != nil && bestLoad < otherZoneLoad && t.AvailabilityZone != s.config.AvailabilityZone {
 			break // Only targets of other zones follow, each with more load than that.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -430,6 +430,8 @@
 without "services with plenty of connections" steerer/connections.go 'if known == nil && s.plentyOfConnections(service) {' 'if false {' TestTargetsWithPlentyOfConnectionsAreNotLookedAt
 without "services that fill" steerer/connections.go 'return few(1+s.hostsHeardOf(), all) && few(s.hostsInZone(), near)' '_, _, _ = few, all, near
 	return true' TestServiceThatFillsIsLookedAt
+without "choices by sample" steerer/choosing.go 'if t := s.chooseSampled(&c, views, crowd); t != nil {' 'if t := s.chooseSampled(&c, views, crowd); t != nil && false {' TestChoiceAmongManyIdleTargetsLooksAtFew
+without "a look at all where sampled ones are busy" steerer/sampling.go 'bestLoad := limit' 'bestLoad := 1000 + 0*limit' TestAllTargetsAreLookedAtWhereSampledOnesAreBusy
 
 wait
 failed=0
