No event walks all targets or all hosts any more

Cause: what reports tell, the checks of silent targets and the targets to forget were looked for among all targets, four to eight times a second; the places of hosts that read, the hosts that live, and whether a zone is heard, among all hosts, up to twenty times a second, and all hosts were sorted again whenever one was new.

Change: the table lists the targets in use and those that are gone, and these are looked at. Hosts are kept sorted by insertion. How many live, near and in all, and read before this host is counted together, in a larger fleet once per round of reports. When a zone was last heard is kept per zone; who was heard of late is looked for among those few.

--- a/core/steerer/flow.go
+++ b/core/steerer/flow.go
@@ -120,6 +120,7 @@
 	}
 	s.flows[key] = f
 	f.target.flows++
+	s.targets.noteInUse(f.target)
 	s.takePlace(f)
 	if !f.opened {
 		f.target.opening++
@@ -219,6 +220,7 @@
 	s.setWaiting(f, false)
 	f.target.flows--
 	to.flows++
+	s.targets.noteInUse(to)
 	if !f.opened {
 		f.target.opening--
 		to.opening++
--- a/core/steerer/gone.go
+++ b/core/steerer/gone.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	var older []*peer
-	for _, p := range s.peers.ordered() {
+	for _, p := range s.peers.recent {
 		if p.hears(s.now) && p.position.Known() && p.incarnation < s.config.Incarnation {
 			older = append(older, p)
 		}
@@ -49,7 +49,7 @@
 // goneStates lists the targets that are gone, those that vanished last first.
 func (s *Steerer) goneStates() []messenger.TargetState {
 	var gone []*target
-	for _, t := range s.targets.ordered() {
+	for _, t := range s.targets.gone {
 		if t.missing {
 			gone = append(gone, t)
 		}
@@ -78,6 +78,7 @@
 		t, _ := s.targets.put(recordOf(state, number), seen)
 		t.missing = true
 		s.targets.noteChanged(t)
+		s.targets.noteGone(t)
 		t.missingSince = s.now
 	}
 	s.log("goneTargetsKnown", field("targets", itoa(len(k.Gone))), field("from", from))
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -178,6 +178,7 @@
 	}
 	if !h.unreachable() {
 		h.silentSince = s.now
+		s.targets.noteInUse(t)
 		s.peers.news = true
 		s.logTarget("targetUnreachable", t)
 	}
@@ -201,7 +202,7 @@
 		return
 	}
 	s.log("zoneSilent", field("zone", found.AvailabilityZone), field("target", found.ID), field("sinceMillis", ageText(s.now, h.suspectSince)))
-	for _, t := range s.targets.ordered() {
+	for _, t := range s.targetsInUse() {
 		unheard := t.flows > 0 && t.health.lastProgress <= h.suspectSince
 		if unheard && t.AvailabilityZone == found.AvailabilityZone && !t.missing {
 			s.probe(t, diagnoser.MostPatience)
@@ -225,7 +226,7 @@
 // checkUnreachable checks unreachable targets again from time to time, but for those of
 // evacuated zones: they get no flows however they answer.
 func (s *Steerer) checkUnreachable() {
-	for _, t := range s.targets.ordered() {
+	for _, t := range s.targetsInUse() {
 		if t.health.unreachable() && !t.missing && !s.evacuator.Evacuates(t.AvailabilityZone) {
 			s.probe(t, diagnoser.MostPatience)
 		}
--- a/core/steerer/leaving.go
+++ b/core/steerer/leaving.go
@@ -42,7 +42,7 @@
 	s.leaving.begun = true
 	s.leaving.earliest = s.now.Add(leaveAtLeast)
 	s.leaving.latest = s.now.Add(leaveAtMost)
-	for _, t := range s.targets.ordered() {
+	for _, t := range s.targetsInUse() {
 		s.passAllPaced(t, "leaving")
 	}
 	s.log("leaving", field("openFlows", itoa(len(s.flows))))
--- a/core/steerer/life.go
+++ b/core/steerer/life.go
@@ -43,7 +43,7 @@
 	t.toldSilentDeadline = 0
 	t.failures = estimator.Failures{}
 	t.pace = estimator.Target{}
-	for _, p := range s.peers.ordered() {
+	for _, p := range s.peers.loaded {
 		delete(p.busy, uint32(t.tag))
 	}
 	t.peersBusy = 0
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -15,9 +15,8 @@
 	// missingMemory is how long a target is remembered after it vanished: open
 	// flows still name it, for as long as a flow may last.
 	missingMemory = 70 * time.Second
-	// targetSweepEvery is how often all targets are looked at for those to check again
-	// and those to forget, which are due after seconds. At each tick it would be most of
-	// what a host does that knows thousands of targets and carries few flows.
+	// targetSweepEvery is how often targets are looked for that are to be checked again or
+	// forgotten, which are due after seconds.
 	targetSweepEvery = 250 * time.Millisecond
 )
 
@@ -130,6 +129,7 @@
 	t.missing = true
 	s.targets.noteChanged(t)
 	s.targets.noteUncounted(t)
+	s.targets.noteGone(t)
 	t.missingSince = s.now
 	s.peers.changed(t, s.now)
 	s.logTarget("targetMissing", t, field("draining", btoa(t.Draining)), field("revision", seen.String()), field("from", from))
@@ -164,20 +164,10 @@
 		return
 	}
 	s.targetSweepDeadline = s.now.Add(targetSweepEvery)
-	s.expireTargets()
+	s.sweepGone()
 	s.noteZoneHosts()
 	s.checkUnreachable()
-}
-
-// expireTargets forgets targets that no flow can name any more.
-func (s *Steerer) expireTargets() {
-	for _, t := range s.targets.ordered() {
-		if t.missing && t.flows == 0 && t.missingSince.Add(missingMemory).Passed(s.now) {
-			s.targets.remove(t)
-			s.warmer.Forget(t.ID)
-			s.connections.limiter.Forget(uint32(t.tag))
-		}
-	}
+	s.sweepInUse()
 }
 
 // flowsTo lists the flows to a target in a fixed order.
--- a/core/steerer/orders.go
+++ b/core/steerer/orders.go
@@ -104,7 +104,7 @@
 
 // hearsOtherZones reports whether any host of another zone has reported of late.
 func (s *Steerer) hearsOtherZones() bool {
-	for _, p := range s.peers.ordered() {
+	for _, p := range s.peers.recent {
 		if p.zone != s.config.AvailabilityZone && p.hears(s.now) {
 			return true
 		}
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"cranberryspan.dev/core/sequencer"
@@ -111,6 +110,10 @@
 	byName map[string]*peer
 	sorted []*peer
 	zones  peerZones
+	// living is how many hosts live as far as anybody says.
+	living living
+	// visits counts the entries of the lists handed out; see table.visits.
+	visits uint64
 	// recent are the hosts that reported within peerSilence, a few of a large fleet, in the
 	// order of their names.
 	recent []*peer
@@ -166,13 +169,9 @@
 	})
 }
 
+// ordered lists all other hosts by name, so that equal events give equal effects.
 func (p *peers) ordered() []*peer {
-	if p.sorted == nil {
-		for _, one := range p.byName {
-			p.sorted = append(p.sorted, one)
-		}
-		slices.SortFunc(p.sorted, func(x, y *peer) int { return strings.Compare(x.name, y.name) })
-	}
+	p.visits += uint64(len(p.sorted))
 	return p.sorted
 }
 
@@ -187,16 +186,7 @@
 // rank is the place of this host among those that live as far as it knows: those with
 // the larger links first, which a read of everything holds up for the shortest time,
 // and hosts with equal or unknown ones by their names.
-func (s *Steerer) rank() int {
-	rank := 0
-	silence := s.mentionSilence()
-	for _, p := range s.peers.ordered() {
-		if p.mentioned(s.now, silence) && s.readsBefore(p) {
-			rank++
-		}
-	}
-	return rank
-}
+func (s *Steerer) rank() int { return s.countLiving().readers }
 
 // readsBefore reports whether another host has a lower rank than this one.
 func (s *Steerer) readsBefore(p *peer) bool {
@@ -246,23 +236,50 @@
 	return p.lives != 0 && !p.leaving && now.Since(p.lives) < silence
 }
 
-// hostsHeardOf counts the other hosts that live as far as this one knows.
-func (s *Steerer) hostsHeardOf() int {
-	count := 0
+// living counts the hosts that live as far as anybody says, as of some moment before
+// deadline.
+type living struct {
+	deadline timekeeper.Instant
+	// all are the other hosts of all zones, near those of the own zone, and readers those that
+	// read the platform before this one.
+	all     int
+	near    int
+	readers int
+}
+
+// countLiving returns how many other hosts live. In a larger fleet the count may be as old
+// as the time between two rounds of reports, which is when it changes.
+func (s *Steerer) countLiving() *living {
+	l := &s.peers.living
+	if !l.deadline.Passed(s.now) {
+		return l
+	}
+	*l = living{}
+	if len(s.peers.byName) > smallFleet {
+		l.deadline = s.now.Add(reportEvery)
+	}
 	silence := s.mentionSilence()
 	for _, p := range s.peers.ordered() {
-		if p.mentioned(s.now, silence) {
-			count++
+		if !p.mentioned(s.now, silence) {
+			continue
+		}
+		l.all++
+		if p.zone == s.config.AvailabilityZone {
+			l.near++
+		}
+		if s.readsBefore(p) {
+			l.readers++
 		}
 	}
-	return count
+	return l
 }
 
+// hostsHeardOf counts the other hosts that live as far as this one knows.
+func (s *Steerer) hostsHeardOf() int { return s.countLiving().all }
+
 // hostsInZone counts the hosts of the own zone that live as far as anybody says, this one
 // among them.
-func (s *Steerer) hostsInZone() int {
-	return 1 + s.peers.zones.live(s.config.AvailabilityZone, s.now, s.mentionSilence())
-}
+func (s *Steerer) hostsInZone() int { return 1 + s.countLiving().near }
 
 // notePeer returns the record of a host, which it makes if there is none. The host
 // reported to somebody so long ago.
@@ -271,7 +288,7 @@
 	if !ok {
 		p = &peer{name: name, address: address, hash: xxhash.Sum64String(name)}
 		s.peers.byName[name] = p
-		s.peers.sorted = nil
+		s.peers.sorted = insertByName(s.peers.sorted, p)
 	}
 	p.lives = max(p.lives, s.now.Add(-age))
 	return p
@@ -282,7 +299,7 @@
 	p := &s.peers
 	p.forgetChanges(s.now)
 	s.forgetPeers()
-	all := p.ordered()
+	all := p.sorted
 	switch {
 	case len(all) <= smallFleet:
 		for _, one := range all {
@@ -299,6 +316,7 @@
 // noteHeard takes in that a host has just reported.
 func (p *peers) noteHeard(from *peer, now timekeeper.Instant) {
 	from.heard = now
+	p.zones.heard[from.zone] = now
 	if !from.recent {
 		from.recent = true
 		p.recent = insertByName(p.recent, from)
@@ -323,11 +341,12 @@
 		return
 	}
 	s.peers.sweepDeadline = s.now.Add(peerSweepEvery)
-	for _, p := range s.peers.ordered() {
-		if s.now.Since(p.lives) > peerMemory {
+	s.peers.sorted = slices.DeleteFunc(s.peers.ordered(), func(p *peer) bool {
+		forgotten := s.now.Since(p.lives) > peerMemory
+		if forgotten {
 			s.peers.zones.move(p, "")
 			delete(s.peers.byName, p.name)
-			s.peers.sorted = nil
 		}
-	}
+		return forgotten
+	})
 }
--- a/core/steerer/peerzones.go
+++ b/core/steerer/peerzones.go
@@ -12,12 +12,14 @@
 // order of their names.
 type peerZones struct {
 	byZone map[string][]*peer
+	// heard is when a host of a zone last reported.
+	heard map[string]timekeeper.Instant
 	// epoch counts the changes: hosts that come, go, change their zone, or are about to end.
 	epoch uint64
 }
 
 func newPeerZones() peerZones {
-	return peerZones{byZone: map[string][]*peer{}}
+	return peerZones{byZone: map[string][]*peer{}, heard: map[string]timekeeper.Instant{}}
 }
 
 // of lists the hosts of a zone.
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -197,7 +197,7 @@
 // all have had their turn. It returns how many were told.
 func (s *Steerer) tellSome(order *[]*peer, count int, of func(*peer) bool) int {
 	told := 0
-	for range s.peers.ordered() {
+	for range s.peers.sorted {
 		if told == count {
 			break
 		}
@@ -310,7 +310,7 @@
 // how long ago each was heard by anybody. What is told of a host that died grows old
 // wherever it goes. A host that knows nothing is told of those that know, if there are.
 func (s *Steerer) addHints(r *messenger.Report, to *peer) {
-	all := s.peers.ordered()
+	all := s.peers.sorted
 	if len(all) == 0 {
 		return
 	}
@@ -322,6 +322,7 @@
 	}
 	for i := range all {
 		p := all[(start+i)%len(all)]
+		s.peers.visits++
 		if p.name == to.name || !p.mentioned(s.now, silence) || !helpful(p) {
 			continue
 		}
@@ -373,14 +374,14 @@
 	known bool
 }
 
-// ownNews looks at all targets once for all reports of an event: requests under way, quick
+// ownNews looks at the targets in use once for all reports of an event: requests under way, quick
 // answers of late, and targets that were found silent of late.
 func (s *Steerer) ownNews() *ownNews {
 	if s.own.known {
 		return &s.own
 	}
 	s.own = ownNews{busy: map[uint32]uint16{}, known: true}
-	for _, t := range s.targets.ordered() {
+	for _, t := range s.targetsInUse() {
 		if n := t.busy + t.opening; n > 0 {
 			s.own.busy[uint32(t.tag)] = uint16(min(n, 1<<16-1))
 		}
--- a/core/steerer/room.go
+++ b/core/steerer/room.go
@@ -178,8 +178,8 @@
 	living     int
 	heard      bool
 	neighbours bool
-	// known are the other zones of which a host has ever been heard, fresh those of which
-	// one has been of late.
+	// known are the other zones of which a host has been heard within peerMemory, fresh those
+	// of which one has been of late.
 	known map[string]bool
 	fresh map[string]bool
 }
@@ -199,21 +199,21 @@
 	if !r.deadline.Passed(s.now) {
 		return r
 	}
+	own := s.config.AvailabilityZone
 	*r = reach{deadline: s.now.Add(assessEvery), known: map[string]bool{}, fresh: map[string]bool{}}
-	silence := s.mentionSilence()
-	for _, p := range s.peers.ordered() {
-		switch {
-		case p.zone != s.config.AvailabilityZone:
-			r.known[p.zone] = r.known[p.zone] || p.heard != 0
-			if p.heard != 0 && s.now.Since(p.heard) < zoneHostMemory {
-				r.fresh[p.zone] = true
-			}
-		case p.mentioned(s.now, silence):
-			r.neighbours = true
-			r.living++
-			r.heard = r.heard || p.hears(s.now)
-		default:
-			r.neighbours = true
+	r.neighbours = len(s.peers.zones.of(own)) > 0
+	r.living = s.countLiving().near
+	for _, p := range s.peers.recent {
+		r.heard = r.heard || (p.zone == own && p.hears(s.now))
+	}
+	for zone, heard := range s.peers.zones.heard {
+		silent := s.now.Since(heard)
+		if zone == own || silent > peerMemory {
+			continue
+		}
+		r.known[zone] = true
+		if silent < zoneHostMemory {
+			r.fresh[zone] = true
 		}
 	}
 	return r
--- a/core/steerer/silence.go
+++ b/core/steerer/silence.go
@@ -64,15 +64,7 @@
 // zoneHostsSilent reports whether no host of another zone has reported of late, though some
 // did before.
 func (s *Steerer) zoneHostsSilent(zone string) bool {
-	known := false
-	for _, p := range s.peers.zones.of(zone) {
-		if p.heard == 0 {
-			continue
-		}
-		if p.hears(s.now) {
-			return false
-		}
-		known = true
-	}
-	return known && zone != s.config.AvailabilityZone
+	heard, known := s.peers.zones.heard[zone]
+	silent := s.now.Since(heard)
+	return known && zone != s.config.AvailabilityZone && silent >= peerSilence && silent <= peerMemory
 }
--- a/core/steerer/table.go
+++ b/core/steerer/table.go
@@ -28,6 +28,10 @@
 	// in it may have changed.
 	slots     map[string]*slotSum
 	uncounted []*target
+	// inUse are the targets that have flows or were found silent, or failing, of late; gone are
+	// those that are no longer listed. Both in the order in which they became so.
+	inUse []*target
+	gone  []*target
 	// visits counts the entries of the lists handed out: what events cost that go through
 	// them.
 	visits uint64
--- a/core/steerer/target.go
+++ b/core/steerer/target.go
@@ -83,6 +83,9 @@
 	// may have changed.
 	counted   microSlots
 	uncounted bool
+	// inUse and gone say that the target is in the table's lists of that name.
+	inUse bool
+	gone  bool
 	// seen is the position of the platform's history at which the state was first read. Of
 	// two states of a target that hosts tell each other the one seen later holds.
 	seen sequencer.Position
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -432,6 +432,10 @@
 	return true' TestServiceThatFillsIsLookedAt
 without "choices by sample" steerer/choosing.go 'if t := s.chooseSampled(&c, views, crowd); t != nil {' 'if t := s.chooseSampled(&c, views, crowd); t != nil && false {' TestChoiceAmongManyIdleTargetsLooksAtFew
 without "a look at all where sampled ones are busy" steerer/sampling.go 'bestLoad := limit' 'bestLoad := 1000 + 0*limit' TestAllTargetsAreLookedAtWhereSampledOnesAreBusy
+without "targets in use apart from all" steerer/using.go '	return s.targets.inUse
+' '	return s.targets.ordered()
+' TestCostOfASecondDoesNotGrowWithTheFleet
+without "one count of the living a round" steerer/peers.go 'l.deadline = s.now.Add(reportEvery)' 'l.deadline = s.now' TestCostOfASecondDoesNotGrowWithTheFleet
 
 wait
 failed=0
