Hosts that never agree ask each other once a second, and answers go through the changes

Cause: while targets change without a pause, no two hosts list the same. From the second on that this lasts, each host asked another every 0.3 s, since an answer did not end the time for which lists had differed; and each answer looked at all targets for those that had changed.

Change: an answer begins that time anew. The table keeps the last 4,096 states that it took in, and answers from these; a question about more than that looks at all.

What an answer goes through among 12,000 targets: 12,000 before, at most 4,096 after, which does not grow with the fleet.

--- a/core/steerer/asking.go
+++ b/core/steerer/asking.go
@@ -29,7 +29,9 @@
 	behindShare  = 0.3
 	behindSpread = 0.2
 	// askPatience is how long this host's targets may differ from another's before
-	// it asks. Reports repeat each change for longer, so mostly they settle it.
+	// it asks, and how long they may go on to differ before it asks again: while targets
+	// change without a pause no two hosts agree. Reports repeat each change for longer, so
+	// mostly they settle it.
 	askPatience = time.Second
 )
 
@@ -270,9 +272,19 @@
 	} else {
 		s.endList(listed, position, from)
 	}
+	s.asking.differsSince = 0
 	s.confirm(&s.reading.targets, reportedRead{k.TargetsRead, k.TargetsEra, k.TargetsAge}, from)
 }
 
+// changedSince lists the targets of which a host has to be told that knows all up to a
+// position: all of them if that is of another era.
+func (s *Steerer) changedSince(position sequencer.Position) []*target {
+	if s.targetsPosition.Continues(position) {
+		return s.targets.seenAfter(position)
+	}
+	return s.targets.ordered()
+}
+
 // Knowledge answers another host's question. The document is not compressed yet.
 func (s *Steerer) Knowledge(request *messenger.KnowledgeRequest) *messenger.Knowledge {
 	k := &messenger.Knowledge{
@@ -299,11 +311,8 @@
 	// since: a state is never seen before it comes about. One from another era, or
 	// that tells none, has to know all, also which are gone.
 	since := sequencer.At(request.SinceEra, request.Since)
-	continues := s.targetsPosition.Continues(since)
-	for _, t := range s.targets.ordered() {
-		if !continues || since.Before(t.seen) {
-			k.Targets = append(k.Targets, s.state(t))
-		}
+	for _, t := range s.changedSince(since) {
+		k.Targets = append(k.Targets, s.state(t))
 	}
 	return k
 }
--- /dev/null
+++ b/core/steerer/history.go
@@ -0,0 +1,71 @@
+package steerer
+
+import (
+	"slices"
+
+	"cranberryspan.dev/core/sequencer"
+)
+
+// maxHistory bounds the changes of targets that are kept. During a release of a large fleet
+// that is some ten seconds of them, far more than hosts are behind.
+const maxHistory = 4096
+
+// sighting is a state of a target that this host has taken in, and the position at which it
+// was first read.
+type sighting struct {
+	target *target
+	seen   sequencer.Position
+}
+
+// history lists the states that were taken in last, in that order.
+type history struct {
+	sightings []sighting
+	// begin is a position such that all that was seen after it is listed.
+	begin sequencer.Position
+}
+
+// add lists a state. The older half goes when there are too many.
+func (h *history) add(one sighting) {
+	if len(h.sightings) == maxHistory {
+		dropped := h.sightings[:maxHistory/2]
+		for _, old := range dropped {
+			h.begin = h.begin.Later(old.seen)
+		}
+		h.sightings = h.sightings[:copy(h.sightings, h.sightings[maxHistory/2:])]
+	}
+	h.sightings = append(h.sightings, one)
+}
+
+// restart has the list begin at a position of a new era of the platform.
+func (h *history) restart(position sequencer.Position) {
+	h.sightings = slices.DeleteFunc(h.sightings, func(one sighting) bool { return !position.Before(one.seen) })
+	h.begin = position
+}
+
+// see notes the position at which the present state of a target was first read.
+func (t *table) see(one *target, seen sequencer.Position) {
+	one.seen = seen
+	t.history.add(sighting{one, seen})
+}
+
+// seenAfter lists, in a fixed order, the targets whose states were first read after a
+// position.
+func (t *table) seenAfter(position sequencer.Position) []*target {
+	var list []*target
+	if position.Before(t.history.begin) {
+		for _, one := range t.ordered() {
+			if position.Before(one.seen) {
+				list = append(list, one)
+			}
+		}
+		return list
+	}
+	t.visits += uint64(len(t.history.sightings))
+	for _, one := range t.history.sightings {
+		current := one.seen == one.target.seen && t.byID[one.target.ID] == one.target
+		if current && position.Before(one.seen) {
+			list = append(list, one.target)
+		}
+	}
+	return list
+}
--- a/core/steerer/listing.go
+++ b/core/steerer/listing.go
@@ -125,7 +125,7 @@
 	if s.crosses(seen) && !t.Draining && !s.drainedBeforeRestore(t) {
 		t.restored = restoredState{lacked: true, deadline: s.now.Add(sequencer.RewriteTime)}
 	}
-	t.seen = seen
+	s.targets.see(t, seen)
 	t.missing = true
 	s.targets.noteChanged(t)
 	s.targets.noteUncounted(t)
--- a/core/steerer/restoring.go
+++ b/core/steerer/restoring.go
@@ -63,6 +63,7 @@
 // undone may be written again for as long after this one.
 func (s *Steerer) noteReread(earlier sequencer.Position, missing int, from string) {
 	doubted := 0
+	s.targets.history.restart(s.targetsPosition)
 	for _, t := range s.targets.byID {
 		if t.seen.Era < s.targetsPosition.Era {
 			t.seen = s.targetsPosition
--- a/core/steerer/table.go
+++ b/core/steerer/table.go
@@ -32,6 +32,8 @@
 	// those that are no longer listed. Both in the order in which they became so.
 	inUse []*target
 	gone  []*target
+	// history is what became of targets of late.
+	history history
 	// visits counts the entries of the lists handed out: what events cost that go through
 	// them.
 	visits uint64
@@ -57,7 +59,7 @@
 	t.noteChanged(one)
 	t.noteUncounted(one)
 	one.zone = t.zoneIndex(record.AvailabilityZone)
-	one.seen = seen
+	t.see(one, seen)
 	return one, !t.claimTag(one)
 }
 
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -255,7 +255,12 @@
 without "doubt of targets that had vanished" steerer/choosing.go '|| s.vanishedOverRestore(t):' ':' TestTargetThatHadVanishedIsALastChoice
 without "lapsed targets that serve" steerer/choosing.go '|| s.drainedBeforeRestore(t):' '|| s.doubtsRestored(t):' TestLapsedTargetsThatACopyListsServe
 without "first answers of the era before" steerer/reading.go 'if mayBeStale && told.Era > 0 {' 'if false {' 'TestFirstAnswerFromBeforeARestoreConvincesNobody|TestFirstOrdersFromBeforeARestoreEndNoOrder'
-without "what has gone, for hosts of another era" steerer/asking.go 'if !continues || since.Before(t.seen) {' 'if (!continues && !t.missing) || (continues && since.Before(t.seen)) {' TestHostOfAnEarlierReleaseLearnsOfWhatHasGone
+without "what has gone, for hosts of another era" steerer/asking.go '	for _, t := range s.changedSince(since) {
+		k.Targets' '	for _, t := range s.changedSince(since) {
+		if t.missing {
+			continue
+		}
+		k.Targets' TestHostOfAnEarlierReleaseLearnsOfWhatHasGone
 without "lists that have a revision" steerer/listing.go '|| (s.targetsPosition.Known() && !list.Position.Known())' '' TestListWithoutARevisionIsNotTaken
 without "doubt from the latest restore on" steerer/restoring.go 'if !t.restored.deadline.Passed(s.now) {' 'if false {' TestSecondRestoreDoubtsTargetsForAsLongAgain
 without "some zone for callers" steerer/choosing.go 'nowhere := obeys && s.evacuatesAll()' 'nowhere := false' TestOrdersOfACopyLeaveSomeZone
@@ -436,6 +441,12 @@
 ' '	return s.targets.ordered()
 ' TestCostOfASecondDoesNotGrowWithTheFleet
 without "one count of the living a round" steerer/peers.go 'l.deadline = s.now.Add(reportEvery)' 'l.deadline = s.now' TestCostOfASecondDoesNotGrowWithTheFleet
+without "the pace of news" steerer/peers.go 'now = now.Add(newsAhead)' 'return true' TestStreamOfNewsIsToldAtTheUsualPace
+without "news at once" steerer/peers.go 'now = now.Add(newsAhead)' 'now = now.Add(0 * newsAhead)' TestSinglePieceOfNewsIsToldAtOnce
+without "patience after an answer" steerer/asking.go '	s.asking.differsSince = 0
+	s.confirm(' '	s.confirm(' TestTargetsThatChangeWithoutAPauseAreAskedForOnceASecond
+without "the beginning of what is listed" steerer/history.go 'if position.Before(t.history.begin) {' 'if false {' TestHistoryTellsEachChangeAfterAPosition
+without "answers from the history" steerer/history.go 'if position.Before(t.history.begin) {' 'if true {' TestAnswerGoesThroughWhatHasChanged
 
 wait
 failed=0
