A check whose connection is reset no longer counts as silence

Where the reset came before the host had looked, the dial itself failed with ECONNRESET, which counted as a handshake without an answer: the target was unreachable after 5 ms, and its open flows were reset though it served. One host's log of: targetProbed outcome=silent tookMillis=5, then flowReset for each read. Whether the reset is seen in time depends on processor time, so it came and went.

Change: such a check has an outcome of its own, from which nothing follows. It was expected to count as silent, so that openings would not leave a target that is down as if it were full; that still holds, since it does not count as cut either.

--- a/core/steerer/event.go
+++ b/core/steerer/event.go
@@ -106,6 +106,9 @@
 	// ProbeCut means that the target took the connection and ended it at once, with no
 	// answer.
 	ProbeCut
+	// ProbeReset means that the connection was reset before this host had seen it open: by a
+	// target that holds all the connections that it may, or by one that is about to end.
+	ProbeReset
 )
 
 func (o ProbeOutcome) String() string {
@@ -124,6 +127,8 @@
 		return "busy"
 	case ProbeCut:
 		return "cut"
+	case ProbeReset:
+		return "reset"
 	}
 	return "unknown"
 }
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -147,6 +147,9 @@
 		s.diagnoser.Heard(t.AvailabilityZone, s.now)
 	case ProbeSilent, ProbeRefused, ProbeOther:
 		s.noteSilence(t, e)
+	case ProbeReset:
+		// Somebody answered, so the target is not silent, but not that it works either. The next
+		// stall has it checked again.
 	}
 	s.logTarget("targetProbed", t, field("outcome", e.Outcome.String()), field("tookMillis", millis(e.Took)))
 	if e.Outcome == ProbeCut {
--- a/core/steerer/health_test.go
+++ b/core/steerer/health_test.go
@@ -56,6 +56,25 @@
 	require.Len(t, f.hosts["a1"].resets, 2, "an idle flow's next request is told at once")
 }
 
+// Failure: open flows at a target that serves are reset, because the target holds all the
+// connections that it may and resets that of a check.
+func TestCheckThatIsResetBlamesNobody(t *testing.T) {
+	f := newFleet(t, 1)
+	const target = "i-10000001"
+	read := openOn(f, "a1", target, 0, true)
+	f.step(time.Second)
+	f.outcomes[target] = steerer.ProbeReset
+	read.ask("a1")
+	f.step(200 * time.Millisecond)
+	read.repeat("a1")
+	f.step(300 * time.Millisecond)
+	require.NotZero(t, f.probes)
+	require.Empty(t, f.hosts["a1"].resets)
+	for _, one := range f.hosts["a1"].steerer.TargetStatuses() {
+		require.NotContains(t, one.Avoided, "no answer", one.Target)
+	}
+}
+
 // Symptom: a flow whose target lives is reset. Sequence: one flow stalls, for a
 // packet was lost; the target's check hangs, for its queue of connections is
 // full; other flows make progress. Cause: trust in the check alone.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -447,6 +447,10 @@
 	s.confirm(' '	s.confirm(' TestTargetsThatChangeWithoutAPauseAreAskedForOnceASecond
 without "the beginning of what is listed" steerer/history.go 'if position.Before(t.history.begin) {' 'if false {' TestHistoryTellsEachChangeAfterAPosition
 without "answers from the history" steerer/history.go 'if position.Before(t.history.begin) {' 'if true {' TestAnswerGoesThroughWhatHasChanged
+without "checks that are reset" steerer/health.go '	case ProbeReset:
+' '	case ProbeReset:
+		s.noteSilence(t, e)
+' TestCheckThatIsResetBlamesNobody
 
 wait
 failed=0
