--- a/core/steerer/large_bench_test.go
+++ b/core/steerer/large_bench_test.go
@@ -224,8 +224,10 @@
 func eachFleet(b *testing.B, run func(b *testing.B, h *largeHost)) {
 	for _, l := range largeFleets {
 		b.Run(l.String(), func(b *testing.B) {
+			h := newLargeHost(l)
 			b.ReportAllocs()
-			run(b, newLargeHost(l))
+			b.ResetTimer()
+			run(b, h)
 		})
 	}
 }
