A zone counts as lost when nobody has heard any of its hosts

Cause, found by a new test: whether a zone has fallen silent went by this host's own reports from it. After the death of half of all hosts half of what the others send goes nowhere, so a living zone is heard once in two seconds, and some host misses it for four: it counted 29 of 39 living hosts.

Change: the latest word of any of the zone's hosts counts, which each report brings of eight hosts. Logged entries: the red pair of single lines takes whole lists, since changes are told once.

--- a/core/steerer/foreign_test.go
+++ b/core/steerer/foreign_test.go
@@ -79,6 +79,19 @@
 	require.Equal(t, 1, logged(f, "a1", "targetMissing"))
 }
 
+// Failure: the log says nothing but that an entry can't be read, because the store tells no
+// changes and the whole list is read each time.
+func TestEntryIsLoggedOnceThoughListsAreReadWhole(t *testing.T) {
+	f := newFleet(t, 1)
+	f.malformed = []steerer.MalformedTarget{{ID: "readme", Digest: 1, Err: errSpoilt}, {Digest: 2, Err: errSpoilt}}
+	for range 5 {
+		clear(f.shown)
+		f.revision++
+		f.step(1300 * time.Millisecond)
+	}
+	require.Equal(t, 2, logged(f, "a1", "targetMalformed"))
+}
+
 // Symptom: packets of one flow reach two targets. Sequence: another writer's entry has an
 // ID with the number of a target's, so that both have one tag. Cause: both are taken.
 // The one that was there first keeps the tag; once it is gone, the other may have it.
--- a/core/steerer/peers.go
+++ b/core/steerer/peers.go
@@ -220,13 +220,12 @@
 		return l
 	}
 	*l = living{}
-	larger := len(s.peers.byName) > smallFleet
-	if larger {
+	if len(s.peers.byName) > smallFleet {
 		l.deadline = s.now.Add(reportEvery)
 	}
-	silence := s.mentionSilence()
+	silence, lost := s.mentionSilence(), s.lostZones()
 	for _, p := range s.peers.ordered() {
-		if !p.mentioned(s.now, silence) || (larger && s.zoneUnheard(p.zone)) {
+		if !p.mentioned(s.now, silence) || lost[p.zone] {
 			continue
 		}
 		l.all++
@@ -240,16 +239,26 @@
 	return l
 }
 
-// zoneUnheard reports whether another zone has fallen silent as a whole: some of its hosts
-// were heard, and for zoneHostMemory none was.
+// lostZones are the other zones of a larger fleet of whose hosts nobody has heard any for
+// zoneHostMemory.
 //
-// What goes wrong if each of its hosts counts until it has not been mentioned for long enough,
-// which takes longer the more hosts there are: a zone is lost, and hosts of other zones wait
-// for those of its hosts that would read the platform before them. One notices by changes
+// What goes wrong if each of their hosts counts until it has not been mentioned for long
+// enough, which takes longer the more hosts there are: a zone is lost, and hosts of other zones
+// wait for those of its hosts that would read the platform before them. One notices by changes
 // that come late in the first minute after the loss of a zone.
-func (s *Steerer) zoneUnheard(zone string) bool {
-	heard, known := s.peers.zones.heard[zone]
-	return known && zone != s.config.AvailabilityZone && s.now.Since(heard) >= zoneHostMemory
+func (s *Steerer) lostZones() map[string]bool {
+	lost := map[string]bool{}
+	if len(s.peers.byName) <= smallFleet {
+		return lost
+	}
+	latest := map[string]timekeeper.Instant{}
+	for _, p := range s.peers.ordered() {
+		latest[p.zone] = max(latest[p.zone], p.lives)
+	}
+	for zone, lives := range latest {
+		lost[zone] = zone != "" && zone != s.config.AvailabilityZone && s.now.Since(lives) >= zoneHostMemory
+	}
+	return lost
 }
 
 // hostsHeardOf counts the other hosts that live as far as this one knows.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -158,7 +158,7 @@
 without "the life that a host's word is about" steerer/reports.go 'if !ok || p.position.Before(t.bornAt) {' 'if !ok {' TestWordOfAHostThatMissedTheRestartCountsForNothing
 without "targets that leave a service" steerer/table.go 't.list(one, one.Service)' 'if one.listedUnder == "" { t.list(one, one.Service) }' TestTargetThatStartsAgainInAnotherService
 without "no flows for spoilt entries" steerer/listing.go 'if !t.missing || t.unreadable {' 'if !t.missing {' TestTargetWhoseEntryIsSpoiltKeepsItsFlowsAndGetsNoOthers
-without "one line for each change of an entry" steerer/foreign.go 'if !s.malformed[entry.Digest] {' 'if !s.malformed[0] {' TestEntryIsLoggedOnceForEachChange
+without "one line for each change of an entry" steerer/foreign.go 'if !s.malformed[entry.Digest] {' 'if !s.malformed[0] {' TestEntryIsLoggedOnceThoughListsAreReadWhole
 without "one holder for each tag" steerer/table.go 'if !holder.missing {' 'if false {' TestEntryWithTheNumberOfAnotherGetsNoFlows
 without "requests that wait" steerer/pacing.go 'if !s.mayPace(f, v) {' 'if true {' 'TestFeedWaitsWhileItsServiceIsPressed|TestNewFeedIsRefusedWhileOthersWait'
 without "the bound on a wait" pacer/line.go 'return r.lastDeadline.Passed(now)' 'return false' TestPacedRequestIsPassedOnWhileItsCallerHasTime
@@ -464,7 +464,7 @@
 without "changes upon what they follow" steerer/listing.go 'if !s.targetsPosition.Continues(list.Since) || s.targetsPosition.Before(list.Since) {' 'if false {' TestChangesAreTakenOnlyUponWhatTheyFollow
 without "tags that pass on" steerer/listing.go '	s.targets.passTag(t)
 ' '' TestTagOfATargetThatHasGonePassesOn
-without "zones that have fallen silent" steerer/peers.go '(larger && s.zoneUnheard(p.zone))' 'false && (larger && s.zoneUnheard(p.zone))' TestHostsOfALostZoneAreNotWaitedFor
+without "zones that have fallen silent" steerer/peers.go '|| lost[p.zone] {' '|| (false && lost[p.zone]) {' TestHostsOfALostZoneAreNotWaitedFor
 without "doubt of answers of an earlier release" steerer/asking.go '		return // Something may be missing; a later read tells.' '		s.targetsPosition = position' TestAnswerThatMayLackSomethingIsNotTakenForComplete
 
 wait
