A compressed list of targets is kept only while it stays true

Cause: a whole list was kept compressed by its position. It tells for how much longer targets are cold, and while nothing changes the position stays, so a host that started later spared targets that had long been warm. And it was kept for questions that name no position, where what matters is whether the answer is whole.

Change: the scope of the answer decides, and a list with cold targets is compressed anew. The new test failed before; that of one compression keeps its assertions.

--- a/balancer/internal/exchanger/exchanger.go
+++ b/balancer/internal/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	if err := x.pack(question, knowledge); err != nil {
+	if err := x.pack(knowledge); err != nil {
 		return err
 	}
 	sealed, err := x.sealer.Seal(from, knowledge)
@@ -290,8 +291,8 @@
 	return compressed, nil
 }
 
-// pack compresses what a host tells another in answer to a question.
-func (x *Exchanger) pack(question *messenger.KnowledgeRequest, k *messenger.Knowledge) error {
+// pack compresses what a host tells another.
+func (x *Exchanger) pack(k *messenger.Knowledge) error {
 	var err error
 	if document := k.Document; len(document) > 0 {
 		k.Document, err = x.document.pack(k.Version, func() ([]byte, error) { return document, nil })
@@ -303,7 +304,7 @@
 		return nil
 	}
 	write := func() ([]byte, error) { return encoder.EncodeTargets(k.Targets) }
-	if question.Since == 0 {
+	if k.Scope == messenger.ScopeAll && !slices.ContainsFunc(k.Targets, isCold) {
 		k.Packed, err = x.targets.pack(sequencer.At(k.TargetsEra, k.Revision), write)
 		return err
 	}
@@ -315,6 +316,10 @@
 	return err
 }
 
+// isCold reports whether a state says for how much longer its target is slow, which is soon
+// out of date.
+func isCold(t messenger.TargetState) bool { return t.WarmUp > 0 }
+
 func unpackTargets(k *messenger.Knowledge) error {
 	if len(k.Packed) == 0 {
 		return nil
--- a/balancer/internal/exchanger/exchanger_test.go
+++ b/balancer/internal/exchanger/exchanger_test.go
@@ -94,18 +94,30 @@
 // of thousands of targets for each of them.
 func TestWholeListIsCompressedOnce(t *testing.T) {
 	var x Exchanger
-	question := &messenger.KnowledgeRequest{Targets: true}
-	first := &messenger.Knowledge{Revision: 9, Targets: targets(100)}
-	require.NoError(t, x.pack(question, first))
-	again := &messenger.Knowledge{Revision: 9, Targets: targets(100)}
-	require.NoError(t, x.pack(question, again))
+	first := &messenger.Knowledge{Revision: 9, Scope: messenger.ScopeAll, Targets: targets(100)}
+	require.NoError(t, x.pack(first))
+	again := &messenger.Knowledge{Revision: 9, Scope: messenger.ScopeAll, Targets: targets(100)}
+	require.NoError(t, x.pack(again))
 	require.Same(t, &first.Packed[0], &again.Packed[0])
-	later := &messenger.Knowledge{Revision: 10, Targets: targets(101)}
-	require.NoError(t, x.pack(question, later))
+	later := &messenger.Knowledge{Revision: 10, Scope: messenger.ScopeAll, Targets: targets(101)}
+	require.NoError(t, x.pack(later))
 	require.NoError(t, unpackTargets(later))
 	require.Len(t, later.Targets, 101)
-	changes := &messenger.Knowledge{Revision: 10, Targets: targets(1)}
-	require.NoError(t, x.pack(&messenger.KnowledgeRequest{Targets: true, Since: 9}, changes))
+	changes := &messenger.Knowledge{Revision: 10, Scope: messenger.ScopeChanged, Targets: targets(1)}
+	require.NoError(t, x.pack(changes))
 	require.NoError(t, unpackTargets(changes))
 	require.Len(t, changes.Targets, 1)
 }
+
+// Failure: a host that starts spares targets that have long been warm, because it was told a
+// list that was compressed while they were cold.
+func TestListWithColdTargetsIsCompressedAnew(t *testing.T) {
+	var x Exchanger
+	cold := targets(2)
+	cold[0].WarmUp = time.Second
+	require.NoError(t, x.pack(&messenger.Knowledge{Revision: 9, Scope: messenger.ScopeAll, Targets: cold}))
+	warm := &messenger.Knowledge{Revision: 9, Scope: messenger.ScopeAll, Targets: targets(2)}
+	require.NoError(t, x.pack(warm))
+	require.NoError(t, unpackTargets(warm))
+	require.Equal(t, targets(2), warm.Targets)
+}
