--- a/core/steerer/effect.go
+++ b/core/steerer/effect.go
@@ -43,7 +43,7 @@
 
 // ReadOptions says how to read the platform.
 type ReadOptions struct {
-	// MayBeStale allows an answer that is some seconds old.
+	// MayBeStale allows an answer that is some seconds old; never with Since.
 	MayBeStale bool
 	// Since is a position up to which this host knows all that is read, so that what has changed
 	// since is enough; zero if it knows none.
