--- a/review/standin/evacuatedzone.go
+++ b/review/standin/evacuatedzone.go
@@ -44,7 +44,7 @@
 				return false, err
 			}
 			for m := range 2 {
-				go q.keepAsking(load, dash, fmt.Sprintf("dash-%d-%d-%d", zone, n, m), 300*time.Millisecond, 2500*time.Millisecond)
+				go q.keepAsking(load, dash, "GET", fmt.Sprintf("dash-%d-%d-%d", zone, n, m), 300*time.Millisecond, 2500*time.Millisecond)
 			}
 		}
 	}
--- a/review/standin/foreignentry.go
+++ b/review/standin/foreignentry.go
@@ -47,8 +47,8 @@
 			if err != nil {
 				return false, err
 			}
-			go q.keepAsking(load, tally, fmt.Sprintf("tally-%d-%d", zone, n), 300*time.Millisecond, 2000*time.Millisecond)
-			go q.keepAsking(load, order, fmt.Sprintf("order-%d-%d", zone, n), 400*time.Millisecond, 2500*time.Millisecond)
+			go q.keepAsking(load, tally, "GET", fmt.Sprintf("tally-%d-%d", zone, n), 300*time.Millisecond, 2000*time.Millisecond)
+			go q.keepAsking(load, order, "POST", fmt.Sprintf("order-%d-%d", zone, n), 400*time.Millisecond, 2500*time.Millisecond)
 		}
 	}
 	wait(ctx, 8*time.Second)
