--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -58,8 +58,15 @@
 	thirdStore      = 200
 	thirdBackends   = 100
 	thirdRequesters = 150
+	thirdRoutes     = 180
 )
 
+// routeAddress returns the address of a route, which only stands in the configuration and in the heads
+// of packets.
+func (d *deployment) routeAddress(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(d.address(thirdRoutes, 1, 0).Addr(), port)
+}
+
 func (d *deployment) seeds() string {
 	var seeds []string
 	for _, h := range d.hosts[:min(3, len(d.hosts))] {
--- a/review/standin/evacuatedzone.go
+++ b/review/standin/evacuatedzone.go
@@ -30,7 +30,7 @@
 		d.addBackend(fmt.Sprintf("i-%010x", 0x6a00000100+n), "ledger", d.zones[n%3])
 	}
 	cut := []*backend{d.backends[0], d.backends[3]}
-	dash := netip.MustParseAddrPort("198.18.0.1:8443")
+	dash := d.routeAddress(8443)
 	d.publish(7, []route{{"r-dash", "idempotent", "ledger", dash, 2500, 400, 2}}, []string{"ledger"})
 	if err := d.start(ctx); err != nil {
 		return false, err
--- a/review/standin/foreignentry.go
+++ b/review/standin/foreignentry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"time"
 )
 
@@ -31,7 +30,7 @@
 		d.addBackend(fmt.Sprintf("i-%010x", 0x5b00000200+n), "menu-press", d.zones[n%3])
 	}
 	victim, other := d.backends[0], d.backends[14]
-	tally, order := netip.MustParseAddrPort("198.18.0.1:8443"), netip.MustParseAddrPort("198.18.0.1:8080")
+	tally, order := d.routeAddress(8443), d.routeAddress(8080)
 	d.publish(7, []route{
 		{"r-tally", "idempotent", "order-desk", tally, 2000, 400, 2},
 		{"r-order", "non_idempotent", "order-desk", order, 2500, 400, 1},
