Logs and a counter name what made a host override an evacuation order

Where a flow went to a target of an evacuated zone, nothing said which of the three exceptions had allowed it: the zone taken for partitioned, an order that was not confirmed for long, or all zones evacuated after a restore. There is a line "orderOverridden" now with the reason and what the host knew, and a counter.

Run: tests of core/steerer and core/diagnoser pass.

--- a/core/diagnoser/diagnoser.go
+++ b/core/diagnoser/diagnoser.go
@@ -133,6 +133,9 @@
 	z.lastActivity = now
 }
 
+// LastActivity returns when a target of a zone last showed activity; 0 if never.
+func (d *Diagnoser) LastActivity(name string) timekeeper.Instant { return d.zone(name).lastActivity }
+
 // ZoneUnresponsive reports whether no target of a zone has shown activity since the given time,
 // for longer than the mean gap between two activities of the zone. It is false while the mean
 // is based on fewer than minGaps gaps.
--- a/core/steerer/counters.go
+++ b/core/steerer/counters.go
@@ -56,6 +56,8 @@
 	// overloaded service, RefusedCallerQuota those whose caller had used up a quota.
 	RefusedCallerShare
 	RefusedCallerQuota
+	// OrderOverridden counts the opening packets that went to a target of an evacuated zone.
+	OrderOverridden
 	numCounters
 )
 
@@ -86,6 +88,7 @@
 	TrialFlow:          "trialFlow",
 	RefusedCallerShare: "refusedCallerShare",
 	RefusedCallerQuota: "refusedCallerQuota",
+	OrderOverridden:    "orderOverridden",
 }
 
 // Counters holds the value of each Counter.
--- a/core/steerer/evacuation.go
+++ b/core/steerer/evacuation.go
@@ -5,6 +5,7 @@
 
 	"cranberryspan.dev/core/evacuator"
 	"cranberryspan.dev/core/sequencer"
+	"cranberryspan.dev/core/timekeeper"
 )
 
 // Operators may order the evacuation of an availability zone: its targets get no new flows
@@ -115,3 +116,40 @@
 	}
 	return false
 }
+
+// recordOverriddenOrder counts and logs that an opening packet goes to a target of an evacuated
+// zone.
+func (s *Steerer) recordOverriddenOrder(to *target) {
+	if !s.evacuator.Evacuates(to.AvailabilityZone) {
+		return
+	}
+	s.counters.add(OrderOverridden)
+	reason := "allZonesEvacuated"
+	switch {
+	case s.partitioned():
+		reason = "partitioned"
+	case s.ordersStale():
+		reason = "ordersStale"
+	}
+	s.log("orderOverridden", append([]Field{
+		field("zone", to.AvailabilityZone), field("target", to.ID), field("reason", reason),
+		field("ordersAgeMillis", formatAge(s.now, s.platformReads.settings.confirmed)),
+	}, s.otherZoneFields()...)...)
+}
+
+// otherZoneFields returns the log fields of how long ago a target of another zone last showed
+// activity, and how long ago a host of another zone last reported.
+func (s *Steerer) otherZoneFields() []Field {
+	var activity, report timekeeper.Instant
+	for _, zone := range s.targets.zones {
+		if zone != s.config.AvailabilityZone {
+			activity = max(activity, s.diagnoser.LastActivity(zone))
+		}
+	}
+	for zone, at := range s.peers.zones.lastReport {
+		if zone != s.config.AvailabilityZone {
+			report = max(report, at)
+		}
+	}
+	return []Field{field("activityAgeMillis", formatAge(s.now, activity)), field("reportAgeMillis", formatAge(s.now, report))}
+}
--- a/core/steerer/forwarding.go
+++ b/core/steerer/forwarding.go
@@ -73,6 +73,7 @@
 		s.watchResentOpening(key, f)
 	}
 	s.logPlacement(p, f, to)
+	s.recordOverriddenOrder(to)
 	s.forward(to, to.tag, p.Data)
 }
 
--- a/core/steerer/redispatch.go
+++ b/core/steerer/redispatch.go
@@ -155,6 +155,7 @@
 	}
 	s.counters.add(FlowRedispatched)
 	s.log("flowSentOn", field("flow", key.caller.String()), field("from", f.target.ID), field("target", to.ID), field("waitedMillis", formatMillis(s.now.Since(f.openingSentAt))))
+	s.recordOverriddenOrder(to)
 	s.recordColdFlow(to)
 	s.moveFlow(f, to)
 	f.redispatches++
