A host asks before it takes its evacuated zone for partitioned

Cause: silence was weighed as in a small fleet. A host overrode the order if, in each other zone, one target had failed a probe and no other had shown activity for longer than the mean gap between two, and if no host of another zone had reported for a second. In a fleet of 83 hosts either happens at random: 46 to 163 ms without activity, and, at 2.7 reports a second, one second in fifteen without a report. A refused probe, which shows that the zone can be reached, counted as silence.

Evidence: each broken flow has a line orderOverridden with reason=partitioned and an order that was confirmed 604 to 1142 ms before; lost, unconfirmed or restored orders are ruled out.

Change: before it overrides an order, a host asks three hosts and a target of each other zone and then the platform. Whatever responds, even by refusing a probe, shows that the zone is not isolated. Why it works: what is asked answers within milliseconds whatever the size of the fleet.

One test said more than its story: TestPartitionedEvacuatedZoneUsesItsOwnTargets left the platform reachable, while nothing was to confirm the order. It cuts the platform off now, too, as does the test with one other zone, and TestPartitionedZoneFollowsAnOrderThatThePlatformConfirms holds the other side.

--- a/core/messenger/report.go
+++ b/core/messenger/report.go
@@ -17,6 +17,8 @@
 	LinkBytesPerSecond int `cbor:"link,omitempty"`
 	// Leaving says that the sender is shutting down and that this is one of its last reports.
 	Leaving bool `cbor:"leave,omitempty"`
+	// ReplyRequested asks the receiver for a report at once.
+	ReplyRequested bool `cbor:"ask,omitempty"`
 	// SettingsRevision is that of the settings in force at the sender. SettingsAge is how long
 	// ago the platform was last known to have no newer ones, and SettingsReadNumber the number
 	// of the read that confirmed this; 0 if unknown.
--- a/core/steerer/evacuation.go
+++ b/core/steerer/evacuation.go
@@ -92,8 +92,15 @@
 //
 // Zones are assumed to fail one at a time. If all of two or more other zones become
 // unresponsive at once, hosts and targets alike, this zone is the one that is partitioned.
-// With one other zone the two cases cannot be distinguished, and the order holds.
+// With one other zone the two cases cannot be distinguished, and the order holds. It also holds
+// at a host that has never received a report from another zone, and so knows no host to ask.
 func (s *Steerer) partitioned() bool {
+	return s.isolation.silent() && s.otherZonesKnown() && s.otherZonesSuspect()
+}
+
+// otherZonesSuspect reports whether there are two or more other zones with targets, and all of
+// them are suspect.
+func (s *Steerer) otherZonesSuspect() bool {
 	otherZones := 0
 	for _, zone := range s.targets.zones {
 		if zone == s.config.AvailabilityZone {
@@ -104,17 +111,7 @@
 		}
 		otherZones++
 	}
-	return otherZones >= 2 && !s.otherZonesReporting()
-}
-
-// otherZonesReporting reports whether a host of another zone has reported recently.
-func (s *Steerer) otherZonesReporting() bool {
-	for _, p := range s.peers.recent {
-		if p.zone != s.config.AvailabilityZone && p.reportedRecently(s.now) {
-			return true
-		}
-	}
-	return false
+	return otherZones >= 2
 }
 
 // recordOverriddenOrder counts and logs that an opening packet goes to a target of an evacuated
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -81,6 +81,7 @@
 // recordProgress records that a target works.
 func (s *Steerer) recordProgress(t *target) {
 	s.diagnoser.ObserveActivity(t.AvailabilityZone, s.now)
+	s.recordZoneContact(t.AvailabilityZone, t.ID)
 	h := &t.health
 	if h.suspect || h.unreachable() {
 		s.targets.markForRecount(t)
@@ -158,6 +159,9 @@
 	h.lastOutcome = e.Outcome
 	h.lastProbeEnd = s.now
 	s.targets.markForRecount(t)
+	if e.Outcome != ProbeConnectTimeout {
+		s.recordZoneContact(t.AvailabilityZone, t.ID)
+	}
 	switch e.Outcome {
 	case ProbeHealthy, ProbeNotReady, ProbeResponseTimeout, ProbeClosed:
 		h.suspect = false
@@ -165,6 +169,7 @@
 		s.diagnoser.ObserveActivity(t.AvailabilityZone, s.now)
 	case ProbeConnectTimeout, ProbeRefused, ProbeWrongTarget:
 		s.markUnreachable(t, e)
+		s.checkIsolation()
 	case ProbeReset:
 		// Something responded, so the target is not unresponsive, but this does not show that it
 		// works. The next stall starts another probe.
--- a/core/steerer/platformread.go
+++ b/core/steerer/platformread.go
@@ -326,6 +326,7 @@
 		src.fail(s.now, s.fleetRetryDelay(), s.random.Float64())
 		return false
 	}
+	s.recordContact(fromPlatform)
 	if position.Era < s.platformReads.era {
 		src.fail(s.now, s.fleetRetryDelay(), s.random.Float64())
 		s.counters.add(ReadsFailed)
--- a/core/steerer/reports.go
+++ b/core/steerer/reports.go
@@ -32,6 +32,7 @@
 	p.incarnation = r.Incarnation
 	s.peers.zones.setShuttingDown(p, r.Leaving)
 	s.peers.recordReport(p, s.now)
+	s.recordZoneContact(r.AvailabilityZone, p.name)
 	p.version = r.SettingsRevision
 	p.position = sequencer.At(r.TargetsEra, r.TargetsRevision)
 	s.applyPeerLoad(p, r.InFlight)
@@ -53,6 +54,9 @@
 		p.nextReport = 0
 		s.reportIfDue(p)
 	}
+	if r.ReplyRequested {
+		s.sendReport(p)
+	}
 	s.syncTick()
 }
 
@@ -249,9 +253,11 @@
 	s.sendReport(p)
 }
 
-func (s *Steerer) sendReport(p *peer) {
+func (s *Steerer) sendReport(p *peer) { s.emitReport(p, s.buildReport(p)) }
+
+func (s *Steerer) emitReport(p *peer, report *messenger.Report) {
 	s.counters.add(ReportsSent)
-	s.emit(&SendReport{Host: p.name, Address: p.address, Report: s.buildReport(p)})
+	s.emit(&SendReport{Host: p.name, Address: p.address, Report: report})
 }
 
 // reportToSeeds reports to seed addresses that belong to no known host.
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -119,6 +119,7 @@
 	peers         peers
 	pause         pause
 	path          path
+	isolation     isolation
 	// baselines holds the baseline latency of each route, by route name.
 	baselines map[string]*medianEstimator
 	// services holds the load of each service, visibility the hosts and zones whose reports
@@ -227,6 +228,7 @@
 	s.expireFlows()
 	s.targetsTick()
 	s.expireOrders()
+	s.isolationTick()
 	s.peersTick()
 	s.divideQuotas()
 	s.readTick()
