A started host's orders are not outdated before the limit has passed

Found by reading; no caller is known to have been hurt. For a moment after its start a host could send new flows to an evacuated zone.

Cause: an order becomes a last resort once no confirmation has arrived for longer than orders may take to propagate. The first read of a host may be outdated and confirms nothing, and a host without any confirmation counted as one whose last is an hour old.

Evidence: TestStartedHostFollowsAnOrderThatIsNotConfirmedYet failed before, with flow 2 of 5, a second after the start, in the evacuated zone.

Change: without a confirmation the limit counts from the start of the host, which has received its orders since. A zone that is isolated is served as before: its hosts pass on when their orders were confirmed.

--- a/core/steerer/evacuation.go
+++ b/core/steerer/evacuation.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"cmp"
 	"time"
 
 	"cranberryspan.dev/core/evacuator"
@@ -60,9 +61,11 @@
 
 // ordersStale reports whether this host's orders may be outdated because no confirmation has
 // arrived for longer than orders may take to propagate. An order still holds then, but not
-// for a flow that no other target could serve.
+// for a flow that no other target could serve. A host without any confirmation has received its
+// orders since its start.
 func (s *Steerer) ordersStale() bool {
-	return age(s.now, s.platformReads.settings.confirmed) > s.settingsPropagationLimit()
+	confirmed := cmp.Or(s.platformReads.settings.confirmed, s.config.Start)
+	return s.now.Since(confirmed) > s.settingsPropagationLimit()
 }
 
 // allZonesEvacuated reports whether the orders leave no zone that has targets. In that case
--- a/core/steerer/evacuation_test.go
+++ b/core/steerer/evacuation_test.go
@@ -327,3 +327,29 @@
 	require.NotEmpty(t, placed)
 	require.Contains(t, placed, unresponsiveTarget, "%v", placed)
 }
+
+// Guards against a host that overrides an order because it has just started: when its first read
+// may be outdated, and neither the platform nor another host confirms it for a moment.
+func TestStartedHostFollowsAnOrderThatIsNotConfirmedYet(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.evacuate("a")
+	f.step(2 * time.Second)
+	f.kill("a1")
+	f.splitZone("a")
+	for id, target := range f.targets {
+		if target.AvailabilityZone == "b" {
+			f.probeOutcomes[id] = steerer.ProbeConnectTimeout
+		}
+	}
+	f.start("a1")
+	f.runUntil(f.now.Add(2 * linkDelay))
+	f.down = true
+	for n := range 5 {
+		c := f.caller(n, checkRoute)
+		c.open("a1", 0)
+		f.step(200 * time.Millisecond)
+		c.open("a1", 1)
+		f.step(300 * time.Millisecond)
+		require.NotEqual(t, "a", f.targetZone(c.target), "flow %d", n)
+	}
+}
