An isolated zone serves its callers until something outside responds

In a zone that was evacuated and then cut off, new flows kept going back to targets that could not be reached, and were late by a retransmission or failed.

Cause: a caller's acknowledgement of a response counted as a sign that the target can be reached. Callers of the zone also send through hosts of other zones, and targets respond to callers directly, so that the acknowledgement that comes to this host shows the way from another one.

Change: of flows, only one that opens after this host alone sent its opening packet shows a way out of the zone. The override lasts until something responds, not until a zone is not suspect for a moment. What is cut off has no way to produce any of what counts, and what is joined answers the questions that are repeated every second, or reports.

--- a/core/steerer/evacuation.go
+++ b/core/steerer/evacuation.go
@@ -102,7 +102,7 @@
 // With one other zone the two cases cannot be distinguished, and the order holds. It also holds
 // at a host that has never received a report from another zone, and so knows no host to ask.
 func (s *Steerer) partitioned() bool {
-	return s.isolation.silent() && s.otherZonesKnown() && s.otherZonesSuspect()
+	return s.isolation.targetsSilent && s.otherZonesKnown()
 }
 
 // otherZonesSuspect reports whether there are two or more other zones with targets, and all of
--- a/core/steerer/forwarding.go
+++ b/core/steerer/forwarding.go
@@ -153,12 +153,16 @@
 // recordEstablished records that a flow is established, and at which target.
 func (s *Steerer) recordEstablished(f *flow, to *target, p *Packet) {
 	f.lastPacket = s.now
-	if f.target != to {
+	moved := f.target != to
+	if moved {
 		s.moveFlow(f, to)
 	}
 	if f.established {
 		return
 	}
+	if !moved && !f.openingResent {
+		s.recordZoneContact(to.AvailabilityZone, to.ID)
+	}
 	f.established = true
 	f.bufferedRequest = nil
 	if !f.closed {
--- a/core/steerer/health.go
+++ b/core/steerer/health.go
@@ -81,7 +81,6 @@
 // recordProgress records that a target works.
 func (s *Steerer) recordProgress(t *target) {
 	s.diagnoser.ObserveActivity(t.AvailabilityZone, s.now)
-	s.recordZoneContact(t.AvailabilityZone, t.ID)
 	h := &t.health
 	if h.suspect || h.unreachable() {
 		s.targets.markForRecount(t)
--- a/core/steerer/isolation.go
+++ b/core/steerer/isolation.go
@@ -11,8 +11,9 @@
 
 // Before a host takes its zone for isolated, and overrides an evacuation order, it asks some hosts
 // and a target of each other zone, and then the platform. Whatever responds to it from outside the
-// zone shows that the zone is not isolated: a report, a read of the platform, progress of a flow,
-// or any response to a probe, even a refusal.
+// zone shows that the zone is not isolated: a report, a read of the platform, a flow that opens, or
+// any response to a probe, even a refusal. Progress of an open flow shows nothing, because its
+// caller may have sent its data through a host of another zone.
 //
 // Silence alone is weak evidence in a large fleet. Each host is reported to by a few others at a
 // time, so a second without a report from another zone is common, and a tenth of a second may pass
@@ -41,6 +42,9 @@
 	silentTicks  int
 	// nextCheck is when the next check may begin.
 	nextCheck timekeeper.Instant
+	// targetsSilent is set once the targets of all other zones have seemed to have failed while
+	// nothing responded to the check. It stays set until something responds.
+	targetsSilent bool
 }
 
 // silent reports whether the last check has ended without any response.
@@ -55,6 +59,7 @@
 		s.log("isolationEnded", field("by", from), field("lastedMillis", formatMillis(s.now.Since(i.checkStarted))))
 	}
 	i.lastContact = s.now
+	i.targetsSilent = false
 }
 
 // recordZoneContact records a contact with something in a zone, unless this is the local zone.
@@ -71,6 +76,7 @@
 		s.continueIsolationCheck()
 	}
 	s.checkIsolation()
+	i.targetsSilent = i.targetsSilent || i.silent() && s.otherZonesSuspect()
 }
 
 // continueIsolationCheck counts a tick without response. At the first one it reads the platform.
@@ -107,7 +113,7 @@
 		s.askHost(p)
 	}
 	s.log("isolationCheck", append([]Field{field("hosts", formatInt(len(asked)))}, s.contactFields()...)...)
-	if suspect {
+	if suspect || i.silent() {
 		s.probeOtherZones()
 	}
 }
@@ -142,24 +148,24 @@
 	s.emitReport(p, report)
 }
 
-// probeOtherZones probes a target of each other zone that is not suspect, so that a zone to which
-// this host sends little counts as well.
+// probeOtherZones probes a target of each other zone, so that a zone to which this host sends
+// little counts as well.
 func (s *Steerer) probeOtherZones() {
 	latest := s.latestTargets()
 	for _, zone := range s.targets.zones {
-		if t := latest[zone]; t != nil && zone != s.config.AvailabilityZone && !s.diagnoser.ZoneSuspect(zone, s.now) {
+		if t := latest[zone]; t != nil && zone != s.config.AvailabilityZone {
 			s.suspect(t, "isolationCheck", s.diagnoser.LastActivity(zone))
 		}
 	}
 }
 
-// latestTargets returns the target of each zone that was the last to make progress, of those at
-// which this host has flows.
+// latestTargets returns the target of each zone that was the last to make progress, of those in
+// use.
 func (s *Steerer) latestTargets() map[string]*target {
 	latest := map[string]*target{}
 	for _, t := range s.targetsInUse() {
 		other := latest[t.AvailabilityZone]
-		if t.flows > 0 && !t.missing && (other == nil || t.health.lastProgress > other.health.lastProgress) {
+		if !t.missing && (other == nil || t.health.lastProgress > other.health.lastProgress) {
 			latest[t.AvailabilityZone] = t
 		}
 	}
--- a/core/steerer/isolation_test.go
+++ b/core/steerer/isolation_test.go
@@ -32,13 +32,15 @@
 	hosts   []string
 	callers int
 	added   int
-	// placedInZoneA holds when each host sent an opening packet to a target of zone a.
-	placedInZoneA map[string][]timekeeper.Instant
+	// placedInZoneA holds when each host sent an opening packet to a target of zone a, and
+	// placedElsewhere when it sent one to another target.
+	placedInZoneA   map[string][]timekeeper.Instant
+	placedElsewhere map[string][]timekeeper.Instant
 }
 
 func newFleetUnderTraffic(t *testing.T, seed uint64, hostsByZone []int) *traffic {
 	f := newFleet(t, hostsByZone...)
-	tr := &traffic{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), placedInZoneA: map[string][]timekeeper.Instant{}}
+	tr := &traffic{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), placedInZoneA: map[string][]timekeeper.Instant{}, placedElsewhere: map[string][]timekeeper.Instant{}}
 	for n := range targetsUnderTraffic {
 		tr.addLedgerTarget(string(rune('a' + n%len(hostsByZone))))
 	}
@@ -69,8 +71,12 @@
 	c.target = ""
 	c.open(host, retransmits)
 	zone := tr.targetZone(c.target)
-	if zone == "a" {
+	switch zone {
+	case "":
+	case "a":
 		tr.placedInZoneA[host] = append(tr.placedInZoneA[host], tr.now)
+	default:
+		tr.placedElsewhere[host] = append(tr.placedElsewhere[host], tr.now)
 	}
 	if _, unresponsive := tr.probeOutcomes[c.target]; c.target == "" || unresponsive || tr.cutOff(host[:1], zone) {
 		if retransmits < 2 {
@@ -269,3 +275,26 @@
 		})
 	}
 }
+
+// Guards against an isolated zone that goes back to the order while it is cut off: when callers of
+// open flows, whose packets also go through hosts of other zones, acknowledge responses.
+func TestProgressThroughOtherHostsDoesNotEndIsolation(t *testing.T) {
+	tr := newFleetUnderTraffic(t, 1, fleetSizes[0])
+	flows := map[string]*caller{}
+	for n, host := range tr.hosts {
+		flows[host] = tr.caller(60_000+n, readRoute)
+		flows[host].open(host, 0)
+		flows[host].establish(host)
+	}
+	tr.isolateZone("a")
+	tr.step(1500 * time.Millisecond)
+	clear(tr.placedElsewhere)
+	for range 20 {
+		for host, c := range flows {
+			c.sendRequest("b1")
+			c.ackResponse(host)
+		}
+		tr.step(150 * time.Millisecond)
+	}
+	require.Empty(t, tr.placedElsewhere)
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -223,10 +223,15 @@
 without "signs of life that end doubt" diagnoser/diagnoser.go 'z.gapCount >= minGaps && z.lastActivity <= since && now' 'z.gapCount >= minGaps && now' TestOneCrashedTargetDoesNotEmptyItsZone
 without "distrust of late checks" steerer/health.go '(!s.missingResponsesAreEvidence() || e.Took > lateProbeFactor*h.probeTimeout)' '!s.missingResponsesAreEvidence()' TestLateProbeDoesNotMakeTargetUnreachable
 without "word of silent targets" steerer/reports.go 'r.InFlight, r.FastFailing, r.Unreachable = observations.inFlight, observations.fastFailing, observations.unreachable' 'r.InFlight, r.FastFailing = observations.inFlight, observations.fastFailing' TestUnresponsiveTargetsAreReportedToOtherHosts
-without "service of a zone that is cut off" steerer/evacuation.go 'return s.isolation.silent() &&' 'return false &&' TestPartitionedEvacuatedZoneUsesItsOwnTargets
-without "orders that hold while anything responds" steerer/evacuation.go 'return s.isolation.silent() &&' 'return' TestCrashesElsewhereDoNotOverrideAnOrder
+without "service of a zone that is cut off" steerer/evacuation.go 'return s.isolation.targetsSilent &&' 'return false &&' TestPartitionedEvacuatedZoneUsesItsOwnTargets
+without "orders that hold while anything responds" steerer/isolation.go 'i.silent() && s.otherZonesSuspect()' 's.otherZonesSuspect()' TestCrashesElsewhereDoNotOverrideAnOrder
 without "the question to the platform" steerer/isolation.go 's.platformReads.targets.urgent = true' '_ = s' TestCrashesElsewhereDoNotOverrideAnOrder
 without "orders that hold at hosts that know nobody to ask" steerer/evacuation.go '&& s.otherZonesKnown()' '' TestStartedHostWithoutReportsFollowsAnOrder
+without "service that lasts while nothing responds" steerer/isolation.go 'i.targetsSilent = i.targetsSilent ||' 'i.targetsSilent =' TestProgressThroughOtherHostsDoesNotEndIsolation
+without "progress that shows nothing" steerer/health.go '	s.diagnoser.ObserveActivity(t.AvailabilityZone, s.now)
+	h := &t.health' '	s.diagnoser.ObserveActivity(t.AvailabilityZone, s.now)
+	s.recordZoneContact(t.AvailabilityZone, t.ID)
+	h := &t.health' TestProgressThroughOtherHostsDoesNotEndIsolation
 without "orders that hold with one other zone" steerer/evacuation.go 'return otherZones >= 2' 'return otherZones >= 1' TestEvacuationOrderHoldsWhenOnlyOtherZoneIsLost
 without "first reads that allow for transfers" steerer/platformread.go 'return boundedAge(limit, firstReadFraction, remaining)' 'return scale(limit, firstReadFraction) + 0*remaining' TestSettingsReachSlowLinksInTime
 without "own reads that allow for transfers" steerer/peersync.go 'return boundedAge(limit, fraction, remaining)' 'return scale(limit, fraction) + 0*remaining' TestSettingsReachSlowLinksInTime
