--- a/core/steerer/isolation.go
+++ b/core/steerer/isolation.go
@@ -15,8 +15,8 @@
 // any response to a probe, even a refusal. Progress of an open flow shows nothing, because its
 // caller may have sent its data through a host of another zone.
 //
-// Silence alone is weak evidence in a large fleet. Each host is reported to by a few others at a
-// time, so a second without a report from another zone is common, and a tenth of a second may pass
+// Silence alone is weak evidence in a large fleet. A host receives reports from a few others at a
+// time, so a second without one from another zone is common, and a tenth of a second may pass
 // between two responses of a zone's targets to one host. Without the check, a few targets that
 // crash make hosts of an evacuated zone place flows there, which shows as "orderOverridden".
 
@@ -101,7 +101,7 @@
 		return
 	}
 	suspect := s.anyOtherZoneSuspect()
-	if !suspect && !s.ordersStaleWithin(isolationTicks*TickInterval) {
+	if !suspect && !i.silent() && !s.ordersStaleWithin(isolationTicks*TickInterval) {
 		return
 	}
 	i.nextCheck = s.now.Add(isolationCheckInterval)
@@ -118,8 +118,8 @@
 	}
 }
 
-// hostsToAsk returns hosts of the other zones, as many of each as far as possible: those that were
-// most recently known to be alive.
+// hostsToAsk returns hosts of the other zones, equally many of each as far as there are enough:
+// those that were most recently known to be alive.
 func (s *Steerer) hostsToAsk() []*peer {
 	var zones [][]*peer
 	for _, zone := range slices.Sorted(maps.Keys(s.peers.zones.byZone)) {
