The line for an overridden order names outdated orders only in an isolated zone

Read again as a newcomer: two conditions for the same thing, and the log line used the one without isolation, so that an order which a restore had left as a last resort would have been called outdated.

Run: the tests of orders and isolation in core/steerer, the pairs of red.sh for outdated orders.

--- a/core/steerer/evacuation.go
+++ b/core/steerer/evacuation.go
@@ -59,14 +59,15 @@
 // orders are stale, or if all zones are evacuated and the zone's order may be outdated.
 const evacuatedZonePenalty = 5 * suspectPenalty
 
-// ordersStale reports whether this host's orders may be outdated because no confirmation has
-// arrived for longer than orders may take to propagate. An order still holds then, but in an
-// isolated zone not for a flow that no other target could serve. While hosts of other zones
-// respond, it is the platform that is down, and operators can't have withdrawn the order.
-func (s *Steerer) ordersStale() bool { return s.ordersStaleWithin(0) }
+// staleInIsolation reports whether this host's zone is isolated and its orders may be outdated. An
+// order still holds then, but not for a flow that no other target could serve. While hosts of
+// other zones respond, it is the platform that is down, and operators can't have withdrawn the
+// order.
+func (s *Steerer) staleInIsolation() bool { return s.isolation.silent() && s.ordersStaleWithin(0) }
 
-// ordersStaleWithin reports whether orders will be stale after the given time without another
-// confirmation. A host without any confirmation has received its orders since its start.
+// ordersStaleWithin reports whether, after the given time without another confirmation, orders have
+// been unconfirmed for longer than orders may take to propagate. A host without any confirmation
+// has received its orders since its start.
 func (s *Steerer) ordersStaleWithin(remaining time.Duration) bool {
 	confirmed := cmp.Or(s.platformReads.settings.confirmed, s.config.Start)
 	return s.now.Since(confirmed)+remaining > s.settingsPropagationLimit()
@@ -132,7 +133,7 @@
 	switch {
 	case s.partitioned():
 		reason = "partitioned"
-	case s.ordersStale():
+	case s.staleInIsolation():
 		reason = "ordersStale"
 	}
 	s.log("orderOverridden", append([]Field{
--- a/core/steerer/target_selection.go
+++ b/core/steerer/target_selection.go
@@ -72,7 +72,7 @@
 func (s *Steerer) evaluateZones(c *placement) []zoneView {
 	s.zoneViews = s.zoneViews[:0]
 	ordersApply := len(s.evacuator.Zones()) > 0 && !s.partitioned()
-	outdated := s.isolation.silent() && s.ordersStale()
+	outdated := s.staleInIsolation()
 	allEvacuated := ordersApply && s.allZonesEvacuated()
 	for _, zone := range s.targets.zones {
 		evacuated := ordersApply && s.evacuator.Evacuates(zone)
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -207,7 +207,7 @@
 without "an end of waiting for the zone" steerer/zonestart.go '|| s.config.Start.Add(zoneStartGrace).Passed(s.now) {' '{' TestHostWaitForZoneIsBounded
 without "the end of orders out of touch" steerer/evacuation.go 'return s.now.Since(confirmed)+remaining > s.settingsPropagationLimit()' '_ = confirmed
 	return false' TestPartitionedHostServesItsEvacuatedZone
-without "outdated orders that hold while hosts respond" steerer/target_selection.go 's.isolation.silent() && s.ordersStale()' 's.ordersStale()' TestOutdatedOrderHoldsWhileHostsElsewhereRespond
+without "outdated orders that hold while hosts respond" steerer/evacuation.go 'return s.isolation.silent() && s.ordersStaleWithin(0)' 'return s.ordersStaleWithin(0)' TestOutdatedOrderHoldsWhileHostsElsewhereRespond
 without "replies to hosts that ask" steerer/reports.go 'if r.ReplyRequested {' 'if false {' TestOutdatedOrderHoldsWhileHostsElsewhereRespond
 without "orders that count from the start" steerer/evacuation.go 'cmp.Or(s.platformReads.settings.confirmed, s.config.Start)' 'cmp.Or(s.platformReads.settings.confirmed, 0)' TestStartedHostFollowsAnOrderThatIsNotConfirmedYet
 without "orders that hold in an outage" steerer/target_selection.go 'if v.lastResort {' 'if false {' TestOutdatedOrderMakesItsZoneOnlyALastResort
