--- a/core/steerer/isolation_test.go
+++ b/core/steerer/isolation_test.go
@@ -36,9 +36,9 @@
 			for _, outcome := range []steerer.ProbeOutcome{steerer.ProbeRefused, steerer.ProbeConnectTimeout} {
 				t.Run(fmt.Sprint(sizes, " ", fault.name, " ", outcome), func(t *testing.T) {
 					tr := newFleetUnderTraffic(t, 1, sizes)
-					for second := range 8 {
+					for second := range 12 {
 						if second%4 == 0 {
-							tr.crashTargets([]float64{0.25, 1}[second/4], outcome)
+							tr.crashTargets([]float64{0.25, 1}[second/4%2], outcome)
 						}
 						fault.apply(tr)
 						tr.step(time.Second)
--- a/core/steerer/traffic_test.go
+++ b/core/steerer/traffic_test.go
@@ -46,7 +46,7 @@
 	for _, host := range tr.hosts {
 		tr.openFlows(host)
 	}
-	f.step(4 * time.Second)
+	f.step(6 * time.Second)
 	return tr
 }
 
