--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+)
+
+// scenario is what a case plays.
+type scenario struct {
+	rule string
+	// perSecond is how many requests a second a cold backend bears; 0 is any number.
+	perSecond float64
+	run       func(r *rig, trouble bool)
+}
+
+var cases = map[string]scenario{
+	"coldReturn":   {"FAILBACK", 4, coldReturn},
+	"silentEntry":  {"DRAIN", 0, silentEntry},
+	"foreignEntry": {"FLOW", 0, foreignEntry},
+}
+
+const settle = 8 * time.Second
+
+// coldReturn has a ledger backend of two zones go down and start again under its ID, cold.
+func coldReturn(r *rig, trouble bool) {
+	time.Sleep(settle)
+	downs := []time.Duration{2200 * time.Millisecond, 2600 * time.Millisecond, 2200 * time.Millisecond, 2600 * time.Millisecond, 2200 * time.Millisecond}
+	for n, down := range downs {
+		list := []*backend{r.ofService("ledger", zoneNames[0])[n%5], r.ofService("ledger", zoneNames[1])[n%5]}
+		if trouble {
+			r.record.say("two ledger backends go down for %v", down)
+			for _, b := range list {
+				b.crash()
+			}
+			time.Sleep(down)
+			for _, b := range list {
+				if err := b.start(true); err != nil {
+					r.record.say("backend %s: %v", b.id, err)
+				}
+			}
+		}
+		time.Sleep(settle)
+	}
+	r.checkColdBackends()
+}
+
+// checkColdBackends checks FAILBACK: the opening packets that a cold backend took in one second,
+// of those that were sent and arrived inside that second.
+func (r *rig) checkColdBackends() {
+	limit := r.perSecond*warmUpOverage + warmUpAllowance
+	most := 0
+	for _, b := range r.backends {
+		b.mu.Lock()
+		var cold []opening
+		for _, one := range b.openings {
+			if one.cold {
+				cold = append(cold, one)
+			}
+		}
+		b.mu.Unlock()
+		sort.Slice(cold, func(i, j int) bool { return cold[i].arrived.Before(cold[j].arrived) })
+		worst := 0
+		for i := range cold {
+			n := 0
+			for _, one := range cold[i:] {
+				if one.born == cold[i].born && one.arrived.Sub(cold[i].sent) < time.Second && !one.sent.Before(cold[i].sent) {
+					n++
+				}
+			}
+			worst = max(worst, n)
+		}
+		most = max(most, worst)
+		if float64(worst) > limit {
+			r.record.say("FAILBACK: cold backend %s (%s) got %d requests in one second, at most %g are allowed", b.id, b.zone, worst, limit)
+			r.fail("FAILBACK")
+		}
+	}
+	r.record.say("most requests in one second at a cold backend: %d, at most %g are allowed", most, limit)
+}
+
+// silentEntry has backends lose their path to the store, one after the other; they go on serving.
+func silentEntry(r *rig, trouble bool) {
+	time.Sleep(settle)
+	list := r.ofService("ledger", "")
+	for n := range cutBackends {
+		b := list[n%len(list)]
+		r.playing.Add(1)
+		go func() {
+			defer r.playing.Done()
+			if trouble {
+				r.cutFromStore(b)
+			}
+		}()
+		time.Sleep(cutInterval)
+	}
+	r.playing.Wait()
+}
+
+const (
+	cutBackends = 20
+	// cutInterval and cutLength leave three of the 18 backends cut off at a time.
+	cutInterval = 3300 * time.Millisecond
+	cutLength   = 9 * time.Second
+)
+
+// cutFromStore cuts a backend off from the store for a while and checks DRAIN: it may get no
+// request later than drain_timeout_ms after the store has removed its entry.
+func (r *rig) cutFromStore(b *backend) {
+	b.setMute(true)
+	r.record.add("backend %s can't reach the store any more", b.id)
+	time.Sleep(cutLength)
+	removed := r.store.removedAt("servers/" + b.id)
+	b.setMute(false)
+	b.beat()
+	if removed.IsZero() {
+		r.record.say("the entry of backend %s was not removed", b.id)
+		return
+	}
+	late := 0
+	var latest time.Duration
+	b.mu.Lock()
+	for _, one := range b.openings {
+		if one.arrived.After(removed.Add(drainLimit)) {
+			late++
+			latest = one.arrived.Sub(removed)
+		}
+	}
+	b.mu.Unlock()
+	r.record.say("backend %s: %d requests later than %v after its entry was removed, the last after %v", b.id, late, drainLimit, latest)
+	if late > 0 {
+		r.fail("DRAIN")
+	}
+}
+
+// foreignEntry has another program write its own entry over those of three backends: its own
+// address, a service that the configuration doesn't name, and the time of its own start.
+func foreignEntry(r *rig, trouble bool) {
+	time.Sleep(settle)
+	victims := r.ofService("ledger", "")[:3]
+	written := time.Now()
+	if trouble {
+		value, _ := json.Marshal(map[string]any{
+			"service": "night-batch", "address": r.address(240, 1, backendPort).String(), "zone": zoneNames[0], "version": "v1", "capacity": 1,
+			"condition": "ready", "warmup_remaining_ms": 0, "sequence": 1, "born": written.UnixMilli(),
+		})
+		for _, b := range victims {
+			r.record.say("another program writes over the entry of backend %s", b.id)
+			r.store.put("servers/"+b.id, string(value), entryLifetime)
+		}
+	}
+	time.Sleep(20 * time.Second)
+	for _, b := range victims {
+		late := 0
+		b.mu.Lock()
+		for _, one := range b.openings {
+			if one.arrived.Sub(written) > 5*time.Second {
+				late++
+			}
+		}
+		b.mu.Unlock()
+		r.record.say("backend %s wrote its own entry again within %v; flows opened there from 5 to 20 s later: %d", b.id, heartbeat, late)
+	}
+}
