--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -190,6 +190,13 @@
 	b.mute = mute
 }
 
+// setClockAhead sets how far the clock of the backend's machine is ahead.
+func (b *backend) setClockAhead(ahead time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.clockAhead = ahead
+}
+
 func (b *backend) beatLoop(incarnation int) {
 	for range time.Tick(heartbeat) {
 		b.mu.Lock()
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"sort"
 	"time"
 )
@@ -15,9 +14,9 @@
 }
 
 var cases = map[string]scenario{
-	"coldReturn":   {"FAILBACK", 4, coldReturn},
-	"silentEntry":  {"DRAIN", 0, silentEntry},
-	"foreignEntry": {"FLOW", 0, foreignEntry},
+	"coldReturn":  {"FAILBACK", 4, coldReturn},
+	"silentEntry": {"DRAIN", 0, silentEntry},
+	"clockBack":   {"DRAIN", 0, clockBack},
 }
 
 const settle = 8 * time.Second
@@ -133,32 +132,73 @@
 	}
 }
 
-// foreignEntry has another program write its own entry over those of three backends: its own
-// address, a service that the configuration doesn't name, and the time of its own start.
-func foreignEntry(r *rig, trouble bool) {
+// clockBack has backends go down and up twice under their IDs while the clock of their machine jumps
+// ahead and back. Later they drain.
+func clockBack(r *rig, trouble bool) {
 	time.Sleep(settle)
-	victims := r.ofService("ledger", "")[:3]
-	written := time.Now()
-	if trouble {
-		value, _ := json.Marshal(map[string]any{
-			"service": "night-batch", "address": r.address(240, 1, backendPort).String(), "zone": zoneNames[0], "version": "v1", "capacity": 1,
-			"condition": "ready", "warmup_remaining_ms": 0, "sequence": 1, "born": written.UnixMilli(),
-		})
-		for _, b := range victims {
-			r.record.say("another program writes over the entry of backend %s", b.id)
-			r.store.put("servers/"+b.id, string(value), entryLifetime)
-		}
+	var list []*backend
+	for _, zone := range zoneNames[:2] {
+		list = append(list, r.ofService("ledger", zone)[0])
 	}
-	time.Sleep(20 * time.Second)
-	for _, b := range victims {
-		late := 0
-		b.mu.Lock()
-		for _, one := range b.openings {
-			if one.arrived.Sub(written) > 5*time.Second {
-				late++
+	restart := func(ahead time.Duration) {
+		for _, b := range list {
+			b.crash()
+		}
+		time.Sleep(clockBackDown)
+		for _, b := range list {
+			b.setClockAhead(ahead)
+			if err := b.start(false); err != nil {
+				r.record.say("backend %s: %v", b.id, err)
 			}
+			r.record.say("backend %s is up again, born %d", b.id, b.born)
 		}
-		b.mu.Unlock()
-		r.record.say("backend %s wrote its own entry again within %v; flows opened there from 5 to 20 s later: %d", b.id, heartbeat, late)
+	}
+	ahead := time.Duration(0)
+	if trouble {
+		ahead = clockStep
+		r.record.say("the clocks of two backends' machines jump ahead by %v", clockStep)
+	}
+	restart(ahead)
+	time.Sleep(clockBackUp)
+	if trouble {
+		r.record.say("the clocks jump back")
+	}
+	restart(0)
+	time.Sleep(settle + 4*time.Second)
+	for _, b := range list {
+		r.playing.Add(1)
+		go func() {
+			defer r.playing.Done()
+			r.drainAndLeave(b)
+		}()
+	}
+	r.playing.Wait()
+}
+
+const (
+	clockStep     = 2 * time.Second
+	clockBackUp   = 700 * time.Millisecond
+	clockBackDown = 700 * time.Millisecond
+	drainingFor   = 8 * time.Second
+)
+
+// drainAndLeave has a backend drain and leave, and checks DRAIN: it may get no request later than
+// drain_timeout_ms after the store has accepted that it is draining.
+func (r *rig) drainAndLeave(b *backend) {
+	accepted := b.drain()
+	time.Sleep(drainingFor)
+	b.crash()
+	r.store.remove("servers/" + b.id)
+	late := 0
+	var latest time.Duration
+	for _, one := range b.openings {
+		if one.arrived.After(accepted.Add(drainLimit)) {
+			late++
+			latest = one.arrived.Sub(accepted)
+		}
+	}
+	r.record.say("backend %s: %d requests later than %v after the store accepted that it drains, the last after %v", b.id, late, drainLimit, latest)
+	if late > 0 {
+		r.fail("DRAIN")
 	}
 }
