--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -21,29 +21,46 @@
 
 const settle = 8 * time.Second
 
-// coldReturn has a ledger backend of two zones go down and start again under its ID, cold.
+const (
+	// flapStep, the time between two steps, and flapLength are those of srv_flap in the file of the
+	// site kowhai-climate-grown.
+	flapStep   = 1910 * time.Millisecond
+	flapLength = 6990 * time.Millisecond
+	flapRounds = 5
+)
+
+// coldReturn has a ledger backend of two zones go down and up by turns, under its ID and cold after
+// each start.
 func coldReturn(r *rig, trouble bool) {
 	time.Sleep(settle)
-	downs := []time.Duration{2200 * time.Millisecond, 2600 * time.Millisecond, 2200 * time.Millisecond, 2600 * time.Millisecond, 2200 * time.Millisecond}
-	for n, down := range downs {
+	for n := range flapRounds {
 		list := []*backend{r.ofService("ledger", zoneNames[0])[n%5], r.ofService("ledger", zoneNames[1])[n%5]}
 		if trouble {
-			r.record.say("two ledger backends go down for %v", down)
-			for _, b := range list {
-				b.crash()
-			}
-			time.Sleep(down)
-			for _, b := range list {
-				if err := b.start(true); err != nil {
-					r.record.say("backend %s: %v", b.id, err)
-				}
-			}
+			r.record.say("two ledger backends go down and up by turns for %v", flapLength)
+			r.flap(list)
 		}
 		time.Sleep(settle)
 	}
 	r.checkColdBackends()
 }
 
+// flap has backends go down and up by turns; they are up in the end.
+func (r *rig) flap(list []*backend) {
+	end := time.Now().Add(flapLength)
+	for time.Now().Before(end) {
+		for _, b := range list {
+			b.crash()
+		}
+		time.Sleep(min(flapStep, time.Until(end)))
+		for _, b := range list {
+			if err := b.start(true); err != nil {
+				r.record.say("backend %s: %v", b.id, err)
+			}
+		}
+		time.Sleep(min(flapStep, time.Until(end)))
+	}
+}
+
 // checkColdBackends checks FAILBACK: the opening packets that a cold backend took in one second,
 // of those that were sent and arrived inside that second.
 func (r *rig) checkColdBackends() {
--- a/review/standin-2/hosts.go
+++ b/review/standin-2/hosts.go
@@ -47,6 +47,10 @@
 	if err != nil {
 		return err
 	}
+	limit := smallSiteLimit
+	if r.perSecond > 0 {
+		limit = grownSiteLimit
+	}
 	lines := []string{
 		fmt.Sprintf("name: %q", h.name),
 		fmt.Sprintf("availabilityZone: %q", h.zone),
@@ -59,11 +63,11 @@
 		"memoryMegabytes: 284",
 		"linkMegabits: 1000",
 		`forwarding: "echo"`,
-		fmt.Sprintf("settingsWithin: %dms", configLimit.Milliseconds()),
-		fmt.Sprintf("drainingWithin: %dms", drainLimit.Milliseconds()),
+		fmt.Sprintf("settingsWithin: %dms", limit.Milliseconds()),
+		fmt.Sprintf("drainingWithin: %dms", limit.Milliseconds()),
 	}
 	if r.perSecond > 0 {
-		lines = append(lines, fmt.Sprintf("evacuatedWithin: %dms", configLimit.Milliseconds()),
+		lines = append(lines, fmt.Sprintf("evacuatedWithin: %dms", limit.Milliseconds()),
 			fmt.Sprintf("coldOverage: %g", warmUpOverage), fmt.Sprintf("coldAllowance: %g", warmUpAllowance))
 	}
 	lines = append(lines, "regions: "+string(regions), fmt.Sprintf("firstStart: %v", firstStart))
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -15,10 +15,12 @@
 
 // The bounds of the sheets that the cases use.
 const (
-	drainLimit      = 3000 * time.Millisecond
-	configLimit     = 3000 * time.Millisecond
+	// smallSiteLimit is `drain_timeout_ms` and `config_propagation_ms` of the small sites;
+	// grownSiteLimit is both, and `evacuation_ms`, of the sites with cold backends.
+	smallSiteLimit  = 3000 * time.Millisecond
+	grownSiteLimit  = 5000 * time.Millisecond
+	drainLimit      = smallSiteLimit
 	reorderWindow   = 2000 * time.Millisecond
-	stabilityWindow = 4000 * time.Millisecond
 	warmUpOverage   = 1.5
 	warmUpAllowance = 5.0
 	warmUp          = 2 * time.Second
